--- a/src/common/consensus/admissions.ts
+++ b/src/common/consensus/admissions.ts
@@ -1,3 +1,4 @@
+import {lostVoterMs} from './consensus-times.js';
 import {type Member} from './member.js';
 import {type MemberDriver} from './member-driver.js';
 
@@ -14,16 +15,17 @@
 
 /**
 Admits members at the leader, one change at a time: first as learner; once it has synced what is committed,
-an earlier identity of the same host is removed, and then the learner becomes a voter.
+an earlier identity of the same host is removed, and then the learner becomes a voter. In an open group a voter that
+was added later finally takes the place of one that is lost, so that the group keeps its size.
 */
 export class Admissions {
 	private readonly _requests = new Map<string, Request>();
 
-	constructor(private readonly _driver: MemberDriver, private readonly _voterHosts: readonly string[]) {}
+	constructor(private readonly _driver: MemberDriver, private readonly _voterHosts: readonly string[], private readonly _isOpen = false) {}
 
 	/** Records that a member asks to be admitted. */
 	request(member: Member, now: number): void {
-		if (this._voterHosts.includes(member.host)) {
+		if (this._isOpen || this._voterHosts.includes(member.host)) {
 			const firstAt = this._requests.get(member.id)?.firstAt ?? now;
 			this._requests.set(member.id, {member, firstAt, at: now});
 		}
@@ -42,6 +44,24 @@
 				this._holdCommits(request, now);
 			}
 		}
+
+		const replaced = this._isOpen ? this._membersWithoutLost() : undefined;
+		if (replaced) {
+			this._change(replaced);
+		}
+	}
+
+	/** The members without a lost voter whose place a later host has taken; undefined when there is none. */
+	private _membersWithoutLost(): Member[] | undefined {
+		const {leader, state} = this._driver.core;
+		const {members, membersIndex} = state.log;
+		const replacement = members.find(member => member.isVoter && member.isReplacement);
+		if (!replacement || !leader?.isEstablished || leader.isTransferring || membersIndex > state.commitIndex) {
+			return undefined;
+		}
+
+		const lost = members.find(member => member.isVoter && member.id !== replacement.id && leader.silentMs(member.id) >= lostVoterMs);
+		return lost && withoutFlag(members.filter(member => member !== lost), replacement.id);
 	}
 
 	private _holdCommits({member, firstAt}: Request, now: number): void {
@@ -79,9 +99,14 @@
 
 		const earlier = members.filter(other => other.host === member.host && other.id !== member.id);
 		if (earlier.length > 0) {
-			return members.filter(other => !earlier.includes(other));
+			return withoutFlag(members.filter(other => !earlier.includes(other)), known.id);
 		}
 
 		return members.map(other => other.id === member.id ? {...other, isVoter: true} : other);
 	}
 }
+
+/** The members, with one of them counted as part of the group's size. */
+function withoutFlag(members: readonly Member[], id: string): Member[] {
+	return members.map(member => member.id === id ? {...member, isReplacement: undefined} : member);
+}
--- a/src/common/consensus/consensus-times.ts
+++ b/src/common/consensus/consensus-times.ts
@@ -16,5 +16,11 @@
 */
 export const leaderLeaseMs = electionTimeoutMinMs * (1 - (2 * maxClockDrift));
 
+/** Time in milliseconds without an answer after which an open group removes a voter for which a replacement has joined. */
+export const lostVoterMs = 6000;
+
+/** Time in milliseconds without a leader after which a voter presents itself again: it may have been removed meanwhile. */
+export const lonelyVoterMs = 3000;
+
 /** Timeout of a vote or append call, in milliseconds; a lost batch is sent again after it. */
 export const peerCallTimeoutMs = 500;
--- a/src/common/consensus/group-entry.ts
+++ b/src/common/consensus/group-entry.ts
@@ -1,13 +1,14 @@
 import {type Disposable} from '../base/disposable.js';
 import {DisposableStore} from '../base/disposable-store.js';
 import {type Admissions} from './admissions.js';
-import {peerCallTimeoutMs} from './consensus-times.js';
+import {lonelyVoterMs, peerCallTimeoutMs} from './consensus-times.js';
 import {type ConsensusMethods} from './consensus-methods.js';
 import {type HelloReply, type HelloRequest} from './hello.js';
 import {type Member} from './member.js';
 import {type MemberDriver} from './member-driver.js';
 import {type MemberOptions} from './member-options.js';
 import {groupIdOf} from './member-identity.js';
+import {role} from './role.js';
 
 /** Interval at which a member that is not yet a voter presents itself, in milliseconds. */
 const helloIntervalMs = 300;
@@ -16,6 +17,8 @@
 export class GroupEntry implements Disposable {
 	private readonly _member: Member;
 	private readonly _handlers = new DisposableStore();
+	/** Hosts that others named as members. */
+	private readonly _heardHosts = new Set<string>();
 	private _timer: Disposable | undefined;
 
 	constructor(
@@ -24,9 +27,9 @@
 		private readonly _methods: ConsensusMethods,
 		private readonly _admissions: Admissions,
 	) {
-		const {transport, region} = _options;
+		const {transport, region, isOpen, isBootstrap} = _options;
 		this._member = {
-			id: _driver.self, host: transport.self, region, isVoter: true,
+			id: _driver.self, host: transport.self, region, isVoter: true, ...(isOpen && !isBootstrap && {isReplacement: true}),
 		};
 		this._handlers.add(transport.handle(_methods.hello, async request => this._receive(request)));
 	}
@@ -52,19 +55,24 @@
 
 		return {
 			member: this._member, isBootstrap: this._options.isBootstrap, groupId: ownGroup, initialMembers: core.state.log.entryAt(1)?.members,
+			memberHosts: core.state.log.members.map(({host}) => host),
 		};
 	}
 
 	private async _present(): Promise<void> {
-		if (this._driver.isStopped || this._driver.core.state.isVoter) {
+		if (this._driver.isStopped || !this._isOutside()) {
 			return;
 		}
 
-		const {transport, voterHosts} = this._options;
+		const {transport, voterHosts, contacts = () => voterHosts} = this._options;
 		const request = {member: this._member, groupId: this._driver.groupId};
-		const others = voterHosts.filter(host => host !== transport.self);
+		const others = [...new Set([...contacts(), ...this._heardHosts])].filter(host => host !== transport.self);
 		const results = await Promise.allSettled(others.map(async host => transport.call(host, this._methods.hello, request, peerCallTimeoutMs)));
 		const replies = results.flatMap(result => result.status === 'fulfilled' ? [result.value] : []);
+		for (const host of replies.flatMap(reply => reply.memberHosts ?? [])) {
+			this._heardHosts.add(host);
+		}
+
 		const initialMembers = this._initialMembers(replies, others.length);
 		if (initialMembers && this._driver.groupId === undefined) {
 			this._driver.groupId = groupIdOf(initialMembers);
@@ -75,6 +83,12 @@
 		}
 	}
 
+	/** Whether this member is no voter, or may no longer be one. */
+	private _isOutside(): boolean {
+		const {state} = this._driver.core;
+		return !state.isVoter || (this._options.isOpen === true && state.role !== role.leader && this._options.clock.now() - state.heardLeaderAt > lonelyVoterMs);
+	}
+
 	/** The members of a group to be created by this host too; undefined when it must be admitted or has to wait. */
 	private _initialMembers(replies: readonly HelloReply[], hostCount: number): Member[] | undefined {
 		const existing = replies.filter(reply => reply.groupId !== undefined);
@@ -84,7 +98,8 @@
 		}
 
 		const isUnanimous = replies.length === hostCount && replies.every(reply => reply.isBootstrap);
-		if (existing.length > 0 || !this._options.isBootstrap || !isUnanimous) {
+		const {transport, voterHosts, isBootstrap} = this._options;
+		if (existing.length > 0 || !isBootstrap || !isUnanimous || !voterHosts.includes(transport.self)) {
 			return undefined;
 		}
 
--- a/src/common/consensus/hello.ts
+++ b/src/common/consensus/hello.ts
@@ -17,4 +17,6 @@
 	readonly groupId?: string;
 	/** Members with which the group was created, while the log still holds them. */
 	readonly initialMembers?: readonly Member[];
+	/** Hosts of the members that the host knows; one of them leads. */
+	readonly memberHosts?: readonly string[];
 }
--- a/src/common/consensus/leader-role.ts
+++ b/src/common/consensus/leader-role.ts
@@ -103,6 +103,12 @@
 		return Math.max(commitIndex, log.membersIndex) - (this.replication.progressOf(id)?.matchIndex ?? 0);
 	}
 
+	/** Time in milliseconds for which a member has not answered; 0 for this one. */
+	silentMs(id: string): number {
+		const {self, now} = this._state;
+		return id === self ? 0 : now - Math.max(this._startedAt, this.replication.progressOf(id)?.heardSentAt ?? -Infinity);
+	}
+
 	receiveReply(call: Extract<Outgoing, {kind: 'append'}>, reply: AppendReply): void {
 		this.replication.receiveReply(call, reply);
 		this.advanceCommit();
--- a/src/common/consensus/log-member.ts
+++ b/src/common/consensus/log-member.ts
@@ -59,7 +59,7 @@
 			this._proposals.settle(entry, result);
 		});
 		this._compaction = new Compaction(this._driver, this._applier, _options, stored.snapshot?.index ?? 0);
-		this._admissions = new Admissions(this._driver, _options.voterHosts);
+		this._admissions = new Admissions(this._driver, _options.voterHosts, _options.isOpen);
 		this._lastRole = this.role;
 		if (stored.snapshot) {
 			this._applier.restore(stored.snapshot);
--- a/src/common/consensus/member-options.ts
+++ b/src/common/consensus/member-options.ts
@@ -13,9 +13,16 @@
 	readonly group: string;
 	/** Region of this host. */
 	readonly region: string;
-	/** Hosts of all voters, this one included. Only these hosts are admitted to the group. */
+	/** Hosts that create the group. Only these hosts are admitted to it, unless `isOpen`. */
 	readonly voterHosts: readonly string[];
 	/**
+	Whether any host is admitted as voter. A host that was added later replaces a voter that has been silent for
+	`lostVoterMs`; without a host to replace it, a silent voter stays.
+	*/
+	readonly isOpen?: boolean;
+	/** Hosts to which a member that is no voter presents itself; `voterHosts` by default. */
+	readonly contacts?: () => readonly string[];
+	/**
 	Whether the group may be created. A new group is created only when every voter host confirms that it holds none,
 	so the flag may stay set for later starts.
 	*/
--- a/src/common/consensus/member.ts
+++ b/src/common/consensus/member.ts
@@ -7,4 +7,6 @@
 	readonly region: string;
 	/** A learner receives the log but neither votes nor counts for commits. */
 	readonly isVoter: boolean;
+	/** Whether the host was added after the group was created and no lost voter has been removed for it yet. */
+	readonly isReplacement?: boolean;
 }
--- a/src/common/control/backend-registrar.ts
+++ b/src/common/control/backend-registrar.ts
@@ -64,7 +64,7 @@
 
 		this._guests.set(id, {server, load, announcedAt: this._clock.now()});
 		const known = this._control.view.backendServers.get(id);
-		if (known && isSame(known, server)) {
+		if (known && isSameServer(known, server)) {
 			return {status: 'accepted'};
 		}
 
@@ -152,14 +152,15 @@
 	}
 }
 
-function isSame(a: BackendServer, b: BackendServer): boolean {
+/** Whether two announcements of a process say the same. */
+export function isSameServer(a: BackendServer, b: BackendServer): boolean {
 	return a === b || canonical(a) === canonical(b);
 }
 
 /** The fields in a fixed order, because the order of an announcement is that of its sender. */
 function canonical(server: BackendServer): string {
-	const {id, incarnation, address, zone, kind, offers, services, checksFencing, checksSender, capacity, canResume = false, acceptsOrders = false} = server;
+	const {id, incarnation, address, zone, kind, offers, services, checksFencing, checksSender, capacity, canResume = false, acceptsOrders = false, release, isDraining = false} = server;
 	return JSON.stringify([
-		id, incarnation, address, zone, kind, offers.map(({ref, inputCost, outputCost}) => [ref, inputCost, outputCost]), services, checksFencing, checksSender, capacity, canResume, acceptsOrders,
+		id, incarnation, address, zone, kind, offers.map(({ref, inputCost, outputCost}) => [ref, inputCost, outputCost]), services, checksFencing, checksSender, capacity, canResume, acceptsOrders, release, isDraining,
 	]);
 }
--- a/src/common/control/backend-server.ts
+++ b/src/common/control/backend-server.ts
@@ -37,4 +37,8 @@
 	readonly acceptsOrders?: boolean;
 	/** Whether an interrupted answer can be continued after the tokens that were already received; absent means no. */
 	readonly canResume?: boolean;
+	/** Version of its software, by which a roll-out of a service tells old from new; absent where it names none. */
+	readonly release?: string;
+	/** Whether it takes no new work any more; absent means no. */
+	readonly isDraining?: boolean;
 }
--- a/src/common/control/control-command.ts
+++ b/src/common/control/control-command.ts
@@ -4,6 +4,7 @@
 import {type BackendServer} from './backend-server.js';
 import {type BurnSums} from './burn-sums.js';
 import {type EntryHost} from './entry-host.js';
+import {type ServiceRolloutState} from './service-rollout.js';
 
 /** A change made by an operator; `changeId` makes a resend safe. */
 interface OperatorChange {
@@ -54,9 +55,9 @@
 	readonly at: number;
 }
 
-/** A backend server left (`backend-left`) or was found dead (`backend-expired`). */
+/** A backend server left (`backend-left`), was found dead (`backend-expired`), or is no longer heard and may come back (`backend-silent`). */
 export interface BackendGone {
-	readonly type: 'backend-left' | 'backend-expired';
+	readonly type: 'backend-left' | 'backend-expired' | 'backend-silent';
 	readonly id: string;
 	readonly incarnation: number;
 	readonly at: number;
@@ -73,6 +74,36 @@
 	readonly reason: string;
 }
 
+/** Replaces the routing configuration, unless the one held has the same or a higher version. */
+export interface ApplyRouting {
+	readonly type: 'apply-routing';
+	readonly version: number;
+	/** The configuration as it was submitted, in the format of the interface that took it. */
+	readonly source: string;
+}
+
+/** Orders the traffic of a service to be moved to the backend servers of a release. */
+export interface StartServiceRollout {
+	readonly type: 'start-service-rollout';
+	readonly service: string;
+	readonly target: string;
+	readonly durationMs: number;
+	/** Unix milliseconds at the leader. */
+	readonly at: number;
+}
+
+/** Changes the share of a service roll-out or ends it. */
+export interface ServiceRolloutStep {
+	readonly type: 'service-rollout-step';
+	readonly service: string;
+	readonly target: string;
+	readonly state: ServiceRolloutState;
+	/** Share of the sessions that go to the target. */
+	readonly share: number;
+	/** What led to the step, for people. */
+	readonly reason: string;
+}
+
 /** Takes the next fencing number, which is the index of this command. */
 export interface NextFencing {
 	readonly type: 'next-fencing';
@@ -81,4 +112,4 @@
 }
 
 /** Commands of the control log. */
-export type ControlCommand = SubmitDocument | RemoveDocument | WithdrawVersion | EntryJoined | EntryLeft | BackendJoined | BackendGone | Quarantine | NextFencing | RolloutStep | BurnSums;
+export type ControlCommand = SubmitDocument | RemoveDocument | WithdrawVersion | EntryJoined | EntryLeft | BackendJoined | BackendGone | Quarantine | NextFencing | RolloutStep | BurnSums | ApplyRouting | StartServiceRollout | ServiceRolloutStep;
--- a/src/common/control/control-service.ts
+++ b/src/common/control/control-service.ts
@@ -11,7 +11,7 @@
 import {CommandNotAllowedError} from './control-errors.js';
 import {ControlLeadership} from './control-leadership.js';
 import {
-	inForceMethod, overviewMethod, proposeMethod, releaseMethod, renewMethod,
+	commitIndexMethod, inForceMethod, overviewMethod, proposeMethod, releaseMethod, renewMethod,
 } from './control-methods.js';
 import {type ControlResult} from './control-result.js';
 import {type ControlState} from './control-state.js';
@@ -38,7 +38,7 @@
 }
 
 /** Commands that only the leader itself proposes. */
-const leaderCommands = new Set<ControlCommand['type']>(['entry-expired', 'backend-expired', 'next-fencing', 'rollout-step', 'burn-sums']);
+const leaderCommands = new Set<ControlCommand['type']>(['entry-expired', 'backend-expired', 'next-fencing', 'rollout-step', 'burn-sums', 'service-rollout-step', 'backend-silent']);
 
 /** Leader side of configuration, directory and leases. Runs on every voter and acts while that voter leads. */
 export class ControlService implements Disposable {
@@ -72,6 +72,10 @@
 		this._store.add(transport.handle(proposeMethod, async ({command}) => this._propose(command)));
 		this._store.add(transport.handle(releaseMethod, async sender => this._release(sender)));
 		this._store.add(transport.handle(overviewMethod, async () => this.overview()));
+		this._store.add(transport.handle(commitIndexMethod, async () => {
+			this.leadership.require();
+			return {commitIndex: log.commitIndex};
+		}));
 		this._store.add(transport.handle(inForceMethod, async ({revision}) => this.inForce(revision)));
 	}
 
--- a/src/common/control/control-state.ts
+++ b/src/common/control/control-state.ts
@@ -6,7 +6,7 @@
 import {ChangeHistory} from './change-history.js';
 import {type ChangeRecord} from './change-record.js';
 import {
-	type ControlCommand, type Quarantine, type RemoveDocument, type SubmitDocument, type WithdrawVersion,
+	type ApplyRouting, type ControlCommand, type Quarantine, type RemoveDocument, type SubmitDocument, type WithdrawVersion,
 } from './control-command.js';
 import {type ControlResult} from './control-result.js';
 import {type ControlView} from './control-view.js';
@@ -15,6 +15,9 @@
 import {type EntryHost} from './entry-host.js';
 import {type QuarantineRecord} from './quarantine-record.js';
 import {RolloutTable} from './rollout-table.js';
+import {type RoutingRecord} from './routing-record.js';
+import {ServiceRolloutTable} from './service-rollout-table.js';
+import {type ServiceRollout} from './service-rollout.js';
 
 type Snapshot = {
 	revision: number;
@@ -28,6 +31,10 @@
 	changes: Array<[string, ChangeRecord]>;
 	/** Absent in snapshots of earlier versions. */
 	burn?: BurnSumSnapshot;
+	/** Absent in snapshots of earlier versions. */
+	routing?: RoutingRecord;
+	/** Absent in snapshots of earlier versions. */
+	serviceRollouts?: Array<[string, ServiceRollout]>;
 };
 
 /** State machine of the control log: documents, directory, quarantines, roll-outs and the fencing number. */
@@ -44,6 +51,8 @@
 	/** Revision at which a quarantine was last lifted; evidence from before must not count again. */
 	private readonly _lifted = new Map<string, number>();
 	private readonly _rollouts = new RolloutTable();
+	private readonly _serviceRollouts = new ServiceRolloutTable();
+	private _routing: RoutingRecord | undefined;
 	private readonly _changes = new ChangeHistory();
 
 	get revision(): number {
@@ -86,6 +95,16 @@
 		return this._rollouts.states;
 	}
 
+	/** Roll-outs of releases by service, finished ones included. */
+	get serviceRollouts(): ReadonlyMap<string, ServiceRollout> {
+		return this._serviceRollouts.rollouts;
+	}
+
+	/** The routing configuration with the highest version; undefined before the first. */
+	get routing(): RoutingRecord | undefined {
+		return this._routing;
+	}
+
 	isQuarantined(service: string, requestClass: string, ref: VersionRef): boolean {
 		return this._quarantines.has(quarantineKey(service, requestClass, ref)) || this._quarantines.has(quarantineKey(service, '*', ref));
 	}
@@ -117,6 +136,7 @@
 				return this._directory.joinBackend(index, command);
 			}
 
+			case 'backend-silent':
 			case 'backend-left':
 			case 'backend-expired': {
 				return this._directory.removeBackend(index, command);
@@ -131,6 +151,18 @@
 				return this._rollouts.step(index, command);
 			}
 
+			case 'apply-routing': {
+				return this._applyRouting(index, command);
+			}
+
+			case 'start-service-rollout': {
+				return this._serviceRollouts.start(index, command);
+			}
+
+			case 'service-rollout-step': {
+				return this._serviceRollouts.step(index, command);
+			}
+
 			case 'burn-sums': {
 				return this.burnSums.add(index, command);
 			}
@@ -154,6 +186,8 @@
 			rollouts: this._rollouts.snapshot(),
 			changes: this._changes.snapshot(),
 			burn: this.burnSums.snapshot(),
+			routing: this._routing,
+			serviceRollouts: this._serviceRollouts.snapshot(),
 		};
 		// The records are replaced and never changed in place, so a snapshot may share them.
 		return snapshot;
@@ -177,6 +211,8 @@
 		this._changes.restore(data.changes);
 		this.burnSums.restore(data.burn);
 		this._rollouts.restore(data.rollouts);
+		this._serviceRollouts.restore(data.serviceRollouts);
+		this._routing = data.routing;
 		this._lifted.clear();
 		for (const [key, revision] of data.lifted) {
 			this._lifted.set(key, revision);
@@ -241,6 +277,15 @@
 		return {status: 'accepted', revision: index};
 	}
 
+	private _applyRouting(index: number, {version, source}: ApplyRouting): ControlResult {
+		if (this._routing && this._routing.version >= version) {
+			return {status: 'ignored', reason: `version ${this._routing.version} is in place`};
+		}
+
+		this._routing = {version, source, revision: index};
+		return {status: 'accepted', revision: index};
+	}
+
 	private _quarantine(index: number, {type, service, requestClass, ref, reason}: Quarantine): ControlResult {
 		const key = quarantineKey(service, requestClass, ref);
 		if (type === 'quarantine') {
--- a/src/common/control/control-view.ts
+++ b/src/common/control/control-view.ts
@@ -4,6 +4,8 @@
 import {type DocumentRecord} from './document-record.js';
 import {type EntryHost} from './entry-host.js';
 import {type QuarantineRecord} from './quarantine-record.js';
+import {type RoutingRecord} from './routing-record.js';
+import {type ServiceRollout} from './service-rollout.js';
 
 /** Read access to the applied control state of this daemon. */
 export interface ControlView {
@@ -17,6 +19,10 @@
 	readonly quarantines: Iterable<QuarantineRecord>;
 	/** Roll-outs by service, finished ones included. */
 	readonly rollouts: ReadonlyMap<string, RolloutState>;
+	/** Roll-outs of releases by service, finished ones included. */
+	readonly serviceRollouts: ReadonlyMap<string, ServiceRollout>;
+	/** The routing configuration in place; undefined before the first. */
+	readonly routing: RoutingRecord | undefined;
 	isQuarantined(service: string, requestClass: string, ref: VersionRef): boolean;
 	/** Revision at which a quarantine of the version was lifted; undefined when none was. */
 	liftedAt(service: string, requestClass: string, ref: VersionRef): number | undefined;
--- a/src/common/control/directory-state.ts
+++ b/src/common/control/directory-state.ts
@@ -77,12 +77,27 @@
 			return {status: 'ignored', reason: 'a later incarnation of the backend server is known'};
 		}
 
-		this.backendServers.set(server.id, server);
+		const others = [...this.backendServers.values()].filter(({id, address}) => address === server.address && id !== server.id);
+		if (others.some(other => other.incarnation > server.incarnation)) {
+			return {status: 'ignored', reason: 'a later backend server has the address'};
+		}
+
+		// A resent announcement must not take back a drain, and a process ends all earlier ones at its address.
+		const isDraining = server.isDraining ?? (current?.incarnation === server.incarnation && current.isDraining);
+		for (const other of others) {
+			this.backendServers.delete(other.id);
+			this._backendTombstones.add(other.id, other.incarnation, at);
+		}
+
+		this.backendServers.set(server.id, isDraining ? {...server, isDraining} : server);
 		return {status: 'accepted', revision: index};
 	}
 
-	removeBackend(index: number, {id, incarnation, at}: BackendGone): ControlResult {
-		this._backendTombstones.add(id, incarnation, at);
+	removeBackend(index: number, {type, id, incarnation, at}: BackendGone): ControlResult {
+		if (type !== 'backend-silent') {
+			this._backendTombstones.add(id, incarnation, at);
+		}
+
 		const current = this.backendServers.get(id);
 		if (!current || current.incarnation > incarnation) {
 			return {status: 'ignored', reason: 'this incarnation of the backend server is not known'};
--- /dev/null
+++ b/src/common/control/service-rollout-table.ts
@@ -0,0 +1,49 @@
+import {type ServiceRolloutStep, type StartServiceRollout} from './control-command.js';
+import {type ControlResult} from './control-result.js';
+import {serviceRolloutState, type ServiceRollout} from './service-rollout.js';
+
+/** Roll-outs of releases by service, part of the control state. */
+export class ServiceRolloutTable {
+	readonly rollouts = new Map<string, ServiceRollout>();
+
+	/** Starts a roll-out. A repeated order for the same target changes nothing. */
+	start(index: number, {service, target, durationMs, at}: StartServiceRollout): ControlResult {
+		const current = this.rollouts.get(service);
+		if (current?.target === target) {
+			return {status: 'accepted', revision: current.revision};
+		}
+
+		if (current?.state === serviceRolloutState.inProgress) {
+			return {
+				status: 'rejected', code: 'rollout-active', message: `the roll-out of ${current.target} is in progress`,
+			};
+		}
+
+		this.rollouts.set(service, {
+			service, target, durationMs, startedAt: at, revision: index, share: 0, state: serviceRolloutState.inProgress,
+		});
+		return {status: 'accepted', revision: index};
+	}
+
+	/** Takes a step of the leader; a finished roll-out stays as it is. */
+	step(index: number, {service, target, state, share}: ServiceRolloutStep): ControlResult {
+		const current = this.rollouts.get(service);
+		if (current?.target !== target || current.state !== serviceRolloutState.inProgress) {
+			return {status: 'ignored', reason: 'the roll-out is not in progress'};
+		}
+
+		this.rollouts.set(service, {...current, state, share});
+		return {status: 'accepted', revision: index};
+	}
+
+	snapshot(): Array<[string, ServiceRollout]> {
+		return [...this.rollouts];
+	}
+
+	restore(rows: ReadonlyArray<[string, ServiceRollout]> = []): void {
+		this.rollouts.clear();
+		for (const [service, rollout] of rows) {
+			this.rollouts.set(service, rollout);
+		}
+	}
+}
--- /dev/null
+++ b/src/common/control/voters-section.ts
@@ -0,0 +1,47 @@
+import {type FollowerSection} from './follower-section.js';
+import {type LeaderSection} from './leader-section.js';
+import {renewalSection} from './renewal-section.js';
+
+const section = renewalSection<readonly string[], readonly string[]>('voters');
+
+/** Tells daemons the hosts of the present voters with each renewal that shows them to be out of date. */
+export class VotersSource implements LeaderSection<readonly string[], readonly string[]> {
+	readonly section = section;
+
+	constructor(private readonly _voters: () => readonly string[]) {}
+
+	reset(): void {
+		// The voters come from the log and outlast a period of leadership.
+	}
+
+	receive(): void {
+		// What a daemon knows is sent for comparison by the reader of the reply only.
+	}
+
+	reply(): readonly string[] {
+		return this._voters();
+	}
+}
+
+/** Voters as this daemon knows them: from the leader, before that from the settings. */
+export class KnownVoters implements FollowerSection<readonly string[], readonly string[]> {
+	readonly section = section;
+	private _voters: readonly string[] = [];
+
+	constructor(private readonly _seeds: () => readonly string[]) {}
+
+	/** Hosts of the voters with those of the settings behind them, which help when all voters have been replaced. */
+	get hosts(): readonly string[] {
+		return [...new Set([...this._voters, ...this._seeds()])];
+	}
+
+	collect(): undefined {
+		return undefined;
+	}
+
+	acknowledge(_term: number, _sent: readonly string[] | undefined, voters: readonly string[] | undefined): void {
+		if (voters && voters.length > 0) {
+			this._voters = voters;
+		}
+	}
+}
--- /dev/null
+++ b/src/common/forwarding/forwarder.ts
@@ -0,0 +1,87 @@
+import {type ForwardRequest} from './forward-request.js';
+import {ForwardRun} from './forward-run.js';
+import {type ForwardServices} from './forward-services.js';
+import {type CallerSink, type Refusal} from './caller-sink.js';
+import {type Customer, type Route} from './routing-config.js';
+
+/** Time in seconds after which a caller may come back to a host that waits for its lease. */
+const leaseRetrySeconds = 0.5;
+
+/** A request that may be forwarded, with what the configuration says of it. */
+export interface AdmittedRequest {
+	readonly req: ForwardRequest;
+	readonly route: Route;
+	readonly customer: Customer | undefined;
+	/** Service that gets the request. */
+	readonly service: string;
+	readonly configVersion: number;
+}
+
+/** Checks requests against the configuration and forwards those that it allows. */
+export class Forwarder {
+	private _active = 0;
+
+	constructor(private readonly _services: ForwardServices) {}
+
+	/** Requests in progress. */
+	get active(): number {
+		return this._active;
+	}
+
+	/** Answers a request. */
+	forward(req: ForwardRequest, sink: CallerSink): void {
+		const admitted = this._admit(req);
+		if ('status' in admitted) {
+			const {lease, clock, counters, logger} = this._services;
+			counters.increment('forward.refused', 1, {code: admitted.code});
+			logger.info({
+				req: req.id, status: admitted.status, code: admitted.code, config: this._services.state().table?.cfg.version, leaseLeftMs: Math.round(lease.expiresAt - clock.now()),
+			}, 'request refused');
+			sink.refuse(admitted);
+			return;
+		}
+
+		this._active++;
+		const run = new ForwardRun(this._services, admitted, sink, () => {
+			this._active--;
+		});
+		run.start();
+	}
+
+	private _admit(req: ForwardRequest): AdmittedRequest | Refusal {
+		const {lease, state, random} = this._services;
+		const {table} = state();
+		if (!table || !lease.isValid()) {
+			return {
+				status: 503, code: table ? 'lease-expired' : 'not-configured', ran: 'no', retryAfterSeconds: leaseRetrySeconds,
+			};
+		}
+
+		const route = table.route(req.hostname, req.path);
+		if (!route) {
+			return {status: 404, code: 'no-route', ran: 'no'};
+		}
+
+		const customer = req.key === undefined ? undefined : table.customer(req.key);
+		if (table.needsKeys && !route.isAnonymous && !customer) {
+			return {status: 401, code: 'unknown-key', ran: 'no'};
+		}
+
+		return {
+			req, route, customer, service: pickService(route, random()), configVersion: table.cfg.version,
+		};
+	}
+}
+
+/** The service whose weight covers a number in [0, 1). */
+function pickService({services}: Route, at: number): string {
+	let left = at * services.reduce((sum, {weight}) => sum + weight, 0);
+	for (const {service, weight} of services) {
+		left -= weight;
+		if (left < 0) {
+			return service;
+		}
+	}
+
+	return services.findLast(({weight}) => weight > 0)!.service;
+}
--- /dev/null
+++ b/src/common/forwarding/server-pool.ts
@@ -0,0 +1,68 @@
+import {type BackendServer} from '../control/backend-server.js';
+import {BackendHealth} from '../routing/backend-health.js';
+
+/** What this host knows of one process of a backend server from its own requests. */
+export class ServerRecord {
+	readonly health = new BackendHealth();
+	/** Requests of this host in progress. */
+	inFlight = 0;
+	/** Tokens that the requests in progress may still take. */
+	tokensInFlight = 0;
+	/** Time until which the backend server said to be full. */
+	fullUntil = 0;
+
+	constructor(public server: BackendServer) {}
+
+	get key(): string {
+		return `${this.server.id}#${this.server.incarnation}`;
+	}
+}
+
+/** Backend servers of each service, with what this host knows of them. */
+export class ServerPool {
+	private readonly _records = new Map<string, ServerRecord>();
+	private readonly _byService = new Map<string, ServerRecord[]>();
+
+	/** Takes the directory over. Processes that are gone are forgotten. */
+	update(servers: Iterable<BackendServer>): void {
+		this._byService.clear();
+		const seen = new Set<string>();
+		for (const server of servers) {
+			const key = `${server.id}#${server.incarnation}`;
+			seen.add(key);
+			let record = this._records.get(key);
+			if (record) {
+				record.server = server;
+			} else {
+				record = new ServerRecord(server);
+				this._records.set(key, record);
+			}
+
+			for (const service of server.services) {
+				const list = this._byService.get(service);
+				if (list) {
+					list.push(record);
+				} else {
+					this._byService.set(service, [record]);
+				}
+			}
+		}
+
+		for (const key of this._records.keys()) {
+			if (!seen.has(key)) {
+				this._records.delete(key);
+			}
+		}
+	}
+
+	/** Backend servers of a service that take new work, whatever their health. */
+	ready(service: string): ServerRecord[] {
+		return (this._byService.get(service) ?? []).filter(({server}) => !server.isDraining);
+	}
+
+	/** Whether the directory still lists the process as taking new work. */
+	isReady({key}: ServerRecord): boolean {
+		const record = this._records.get(key);
+		return record !== undefined && !record.server.isDraining;
+	}
+}
--- /dev/null
+++ b/src/common/host/control-host.ts
@@ -0,0 +1,224 @@
+import {type AppError} from '../base/app-error.js';
+import {type Clock} from '../base/clock.js';
+import {type Counters} from '../base/counters.js';
+import {DisposableStore} from '../base/disposable-store.js';
+import {type Disposable} from '../base/disposable.js';
+import {type Event} from '../base/event.js';
+import {type Logger} from '../base/logger.js';
+import {type PeerTransport} from '../base/peer-transport.js';
+import {type RandomSource} from '../base/random-source.js';
+import {sleep} from '../base/sleep.js';
+import {LogMember} from '../consensus/log-member.js';
+import {type LogStorage} from '../consensus/log-storage.js';
+import {role} from '../consensus/role.js';
+import {BackendHeartbeats} from '../control/backend-heartbeats.js';
+import {isSameServer} from '../control/backend-registrar.js';
+import {type BackendServer} from '../control/backend-server.js';
+import {type ControlCommand} from '../control/control-command.js';
+import {ControlUnavailableError} from '../control/control-errors.js';
+import {commitIndexMethod, proposeMethod} from '../control/control-methods.js';
+import {type ControlResult} from '../control/control-result.js';
+import {ControlService} from '../control/control-service.js';
+import {ControlState} from '../control/control-state.js';
+import {proposeTimeoutMs} from '../control/control-times.js';
+import {EntryList, type EntryListReply} from '../control/entry-list.js';
+import {LeaderLink} from '../control/leader-link.js';
+import {type RoutingRecord} from '../control/routing-record.js';
+import {type ServiceRollout} from '../control/service-rollout.js';
+import {VotersSource} from '../control/voters-section.js';
+import {ReleaseSupervisor} from '../release/release-supervisor.js';
+
+/** What a control host is built from. */
+export interface ControlHostOptions {
+	readonly region: string;
+	/** Peer names of the hosts that create the control group. */
+	readonly seeds: () => readonly string[];
+	/** Whether the group may be created. */
+	readonly isBootstrap: boolean;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly transport: PeerTransport;
+	readonly counters: Counters;
+	readonly logger: Logger;
+	readonly storage: LogStorage;
+	/** Time in seconds for which callers keep the list of entry hosts. */
+	readonly keepSeconds: number;
+}
+
+/** Time in milliseconds for which an order of an operator or a backend server looks for a leader; the caller asks again. */
+const orderTimeoutMs = 3000;
+/** Time in milliseconds for which a read waits until this host has caught up. */
+const readTimeoutMs = 800;
+const readPollMs = 10;
+
+/** A host with a disk that takes part in the control group and serves operators, backend servers and the list of entry hosts. */
+export class ControlHost implements Disposable {
+	/**
+	Starts the member of the control group.
+
+	@throws StorageFailedError or LogCorruptError when the storage cannot be used.
+	*/
+	static async start(options: ControlHostOptions): Promise<ControlHost> {
+		const state = new ControlState();
+		const log = await LogMember.start<ControlCommand, ControlResult>({
+			...options, group: 'control', machine: state, voterHosts: options.seeds(), isOpen: true, contacts: options.seeds,
+		});
+		return new ControlHost(options, log, state);
+	}
+
+	private readonly _store = new DisposableStore();
+	private readonly _service: ControlService;
+	private readonly _link: LeaderLink;
+	private readonly _heartbeats: BackendHeartbeats;
+	private readonly _entryList: EntryList;
+	private readonly _joining = new Map<string, Promise<ControlResult>>();
+
+	private constructor(
+		private readonly _options: ControlHostOptions,
+		private readonly _log: LogMember<ControlCommand, ControlResult>,
+		private readonly _state: ControlState,
+	) {
+		const {transport, clock, random, seeds, keepSeconds} = _options;
+		const shared = {..._options, log: _log, state: _state};
+		this._store.add(_log);
+		this._service = this._store.add(new ControlService(shared));
+		this._store.add(this._service.addSection(new VotersSource(() => this._voters)));
+		this._heartbeats = this._store.add(new BackendHeartbeats({...shared, leadership: this._service.leadership}));
+		const supervisor = this._store.add(new ReleaseSupervisor({...shared, leadership: this._service.leadership}));
+		this._store.add(this._service.addSection(supervisor));
+		this._link = new LeaderLink(transport, () => [...new Set([...this._voters, ...seeds()])], clock, random);
+		this._entryList = new EntryList(_state, {isValid: () => true}, keepSeconds);
+	}
+
+	/** The member has stopped for good; the process must end. */
+	get onFatal(): Event<AppError> {
+		return this._log.onFatal;
+	}
+
+	/** Peer name of the leader, where known. */
+	get leader(): string | undefined {
+		return this._log.leader;
+	}
+
+	/** The routing configuration that this host has applied, which may be behind. */
+	get routing(): RoutingRecord | undefined {
+		return this._state.routing;
+	}
+
+	/** Entry hosts for a caller. */
+	entries(caller: string, zone: string): EntryListReply {
+		return this._entryList.for(caller, zone);
+	}
+
+	/** Proposes a routing configuration. @throws ControlUnavailableError when the outcome is unknown; a repetition is safe. */
+	async applyRouting(version: number, source: string): Promise<ControlResult> {
+		return this._propose({type: 'apply-routing', version, source});
+	}
+
+	/** Orders a roll-out of a release. @throws ControlUnavailableError when the outcome is unknown; a repetition is safe. */
+	async startRollout(service: string, target: string, durationMs: number): Promise<ControlResult> {
+		return this._propose({
+			type: 'start-service-rollout', service, target, durationMs, at: this._options.clock.wallTime(),
+		});
+	}
+
+	/** The newest routing configuration. @throws ControlUnavailableError when this host cannot be sure of it. */
+	async readRouting(): Promise<RoutingRecord | undefined> {
+		await this._catchUp();
+		return this._state.routing;
+	}
+
+	/** The newest roll-out of a service. @throws ControlUnavailableError when this host cannot be sure of it. */
+	async readRollout(service: string): Promise<ServiceRollout | undefined> {
+		await this._catchUp();
+		return this._state.serviceRollouts.get(service);
+	}
+
+	/**
+	Takes a heartbeat of a backend server. Resolves when what it says that is new is committed.
+
+	@returns whether the process is part of the directory; a process that has left, or that another one followed, is not.
+	@throws ControlUnavailableError when the outcome is unknown; the next heartbeat tries again.
+	*/
+	async announce(server: BackendServer): Promise<boolean> {
+		this._heartbeats.heard(server);
+		const known = this._state.backendServers.get(server.id);
+		if (known?.incarnation === server.incarnation && (isSameServer(known, server) || (known.isDraining && !server.isDraining))) {
+			return true;
+		}
+
+		const key = JSON.stringify(server);
+		let joining = this._joining.get(key);
+		if (!joining) {
+			joining = this._join(key, server);
+			this._joining.set(key, joining);
+		}
+
+		const result = await joining;
+		return result.status === 'accepted';
+	}
+
+	/** Takes the leave of a backend server; without an incarnation that of the process known. Resolves when it is committed. */
+	async leave(id: string, incarnation?: number): Promise<void> {
+		const known = incarnation ?? this._state.backendServers.get(id)?.incarnation;
+		if (known !== undefined) {
+			await this._propose({
+				type: 'backend-left', id, incarnation: known, at: this._options.clock.wallTime(),
+			});
+		}
+	}
+
+	/** Hands leadership over before a planned stop. */
+	transferLeadership(): void {
+		if (this._log.role === role.leader) {
+			this._log.transferLeadership();
+		}
+	}
+
+	/** Stops the member and waits until nothing more is written. */
+	async close(): Promise<void> {
+		this._store.dispose();
+		await this._log.close();
+	}
+
+	dispose(): void {
+		this._store.dispose();
+	}
+
+	private get _voters(): readonly string[] {
+		return this._log.members.filter(({isVoter}) => isVoter).map(({host}) => host);
+	}
+
+	private async _join(key: string, server: BackendServer): Promise<ControlResult> {
+		const {logger, clock} = this._options;
+		try {
+			const result = await this._propose({type: 'backend-joined', server, at: clock.wallTime()});
+			const {id, incarnation, address, release, isDraining} = server;
+			logger.info({
+				server: id, incarnation, address, release, isDraining, services: server.services, outcome: result.status,
+			}, 'backend server announced');
+			return result;
+		} finally {
+			this._joining.delete(key);
+		}
+	}
+
+	private async _propose(command: ControlCommand): Promise<ControlResult> {
+		return this._link.request(proposeMethod, {command}, {attemptMs: proposeTimeoutMs, deadlineMs: orderTimeoutMs});
+	}
+
+	/** Waits until this host has applied all that was committed when the call began. */
+	private async _catchUp(): Promise<void> {
+		const {clock} = this._options;
+		const end = clock.now() + readTimeoutMs;
+		const {commitIndex} = await this._link.request(commitIndexMethod, {}, {attemptMs: readTimeoutMs / 2, deadlineMs: readTimeoutMs});
+		while (this._log.appliedIndex < commitIndex) {
+			if (clock.now() >= end) {
+				throw new ControlUnavailableError(`this host is behind the leader by ${commitIndex - this._log.appliedIndex} entries`);
+			}
+
+			// eslint-disable-next-line no-await-in-loop -- waits for the log
+			await sleep(clock, readPollMs);
+		}
+	}
+}
--- /dev/null
+++ b/src/common/host/forward-host.ts
@@ -0,0 +1,153 @@
+import {type Clock} from '../base/clock.js';
+import {type Counters} from '../base/counters.js';
+import {DisposableStore} from '../base/disposable-store.js';
+import {type Disposable} from '../base/disposable.js';
+import {Emitter} from '../base/emitter.js';
+import {type Event} from '../base/event.js';
+import {type Logger} from '../base/logger.js';
+import {type PeerTransport} from '../base/peer-transport.js';
+import {type RandomSource} from '../base/random-source.js';
+import {ControlFollower} from '../control/control-follower.js';
+import {serviceRolloutState} from '../control/service-rollout.js';
+import {type EntryHost} from '../control/entry-host.js';
+import {KnownVoters} from '../control/voters-section.js';
+import {RetryBudget} from '../entry/retry-budget.js';
+import {type BackendPort} from '../forwarding/backend-port.js';
+import {Forwarder} from '../forwarding/forwarder.js';
+import {type ForwardState} from '../forwarding/forward-services.js';
+import {type ModelPolicy} from '../forwarding/model-policy.js';
+import {AffinityPlacement} from '../forwarding/placement.js';
+import {RouteTable} from '../forwarding/route-table.js';
+import {type RoutingConfig} from '../forwarding/routing-config.js';
+import {ServerPool} from '../forwarding/server-pool.js';
+import {ReleaseRecorder} from '../release/release-recorder.js';
+
+/** What a forwarding host is built from. */
+export interface ForwardHostOptions {
+	readonly entry: Omit<EntryHost, 'leaving'>;
+	/** Peer names of control hosts from the settings. */
+	readonly seeds: () => readonly string[];
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly transport: PeerTransport;
+	readonly counters: Counters;
+	readonly logger: Logger;
+	readonly port: BackendPort;
+	readonly models: ModelPolicy;
+	/** Reads a routing configuration that was checked when it was submitted. */
+	readonly parseRouting: (source: string) => RoutingConfig;
+	/** Share of the requests of a service that may be sent again. */
+	readonly retryShare: number;
+	/** Retries that one host may save up. */
+	readonly savedRetries: number;
+}
+
+/** An entry host that forwards requests by the routing configuration: control follower, forwarder and what they share. */
+export class ForwardHost implements Disposable {
+	readonly forwarder: Forwarder;
+	readonly follower: ControlFollower;
+	private readonly _store = new DisposableStore();
+	private readonly _pool = new ServerPool();
+	private readonly _voters: KnownVoters;
+	private readonly _recorder: ReleaseRecorder;
+	private readonly _budgets = new Map<string, RetryBudget>();
+	private readonly _onRouting = this._store.add(new Emitter<RoutingConfig>());
+	private readonly _onServers = this._store.add(new Emitter<ReadonlySet<string>>());
+	private _table: RouteTable | undefined;
+	private _routingRevision = -1;
+
+	constructor(private readonly _options: ForwardHostOptions) {
+		const {
+			entry, seeds, clock, random, counters, logger, port, models,
+		} = _options;
+		this._voters = new KnownVoters(seeds);
+		this.follower = this._store.add(new ControlFollower({..._options, voters: () => this._voters.hosts, sections: []}));
+		this._recorder = new ReleaseRecorder(service => this.follower.view.serviceRollouts.get(service)?.state === serviceRolloutState.inProgress);
+		this._store.add(this.follower.addSection(this._voters));
+		this._store.add(this.follower.addSection(this._recorder));
+		this._store.add(this.follower.onRevision(() => {
+			this._apply();
+		}));
+		this._store.add(this.follower.onLeaseGained(() => {
+			logger.info({revision: this.follower.applied}, 'lease gained');
+		}));
+		this._store.add(this.follower.onLeaseLost(() => {
+			logger.warn({revision: this.follower.applied}, 'lease lost, requests are refused');
+		}));
+		this.forwarder = new Forwarder({
+			zone: entry.zone,
+			clock,
+			logger,
+			counters,
+			lease: this.follower.lease,
+			state: () => this._state(),
+			pool: this._pool,
+			port,
+			placement: new AffinityPlacement(random.fork('placement')),
+			models,
+			observer: this._recorder,
+			budget: service => this._budget(service),
+			random: () => random.next(),
+		});
+	}
+
+	/** Whether requests are served: there is a configuration and a lease. */
+	get isReady(): boolean {
+		return this._table !== undefined && this.follower.lease.isValid();
+	}
+
+	/** Raised with each new routing configuration. */
+	get onRouting(): Event<RoutingConfig> {
+		return this._onRouting.event;
+	}
+
+	/** Raised with the addresses of all backend servers when the directory has changed. */
+	get onServers(): Event<ReadonlySet<string>> {
+		return this._onServers.event;
+	}
+
+	start(): void {
+		this.follower.start();
+	}
+
+	dispose(): void {
+		this._store.dispose();
+	}
+
+	private _state(): ForwardState {
+		const {view} = this.follower;
+		return {table: this._table, rollouts: view.serviceRollouts, hostCount: view.entryHosts.size};
+	}
+
+	private _budget(service: string): RetryBudget {
+		let budget = this._budgets.get(service);
+		if (!budget) {
+			budget = new RetryBudget(this._options.retryShare, this._options.savedRetries);
+			this._budgets.set(service, budget);
+		}
+
+		return budget;
+	}
+
+	private _apply(): void {
+		const {logger, parseRouting} = this._options;
+		const {view} = this.follower;
+		this._pool.update(view.backendServers.values());
+		this._onServers.fire(new Set([...view.backendServers.values()].map(({address}) => address)));
+		const {routing} = view;
+		if (routing && routing.revision !== this._routingRevision) {
+			this._routingRevision = routing.revision;
+			try {
+				this._table = new RouteTable(parseRouting(routing.source));
+			} catch (error) {
+				// Another release of this program accepted what this one cannot read; it must not serve by an old one.
+				this._table = undefined;
+				logger.error({version: routing.version, err: error}, 'routing configuration cannot be read');
+				return;
+			}
+
+			logger.info({version: routing.version, revision: routing.revision, routes: this._table.cfg.routes.length}, 'routing configuration applied');
+			this._onRouting.fire(this._table.cfg);
+		}
+	}
+}
--- /dev/null
+++ b/src/daemon/http-caller-sink.ts
@@ -0,0 +1,68 @@
+import {type ServerResponse} from 'node:http';
+import {type CallerSink, type Refusal} from '../common/forwarding/caller-sink.js';
+import {type CallerCodec} from './caller-codec.js';
+
+/** Answers one request over HTTP. */
+export class HttpCallerSink implements CallerSink {
+	onGone: (() => void) | undefined;
+	onDrain: (() => void) | undefined;
+
+	constructor(private readonly _res: ServerResponse, private readonly _codec: CallerCodec) {
+		_res.on('drain', () => {
+			this.onDrain?.();
+		});
+		_res.once('close', () => {
+			if (!_res.writableFinished) {
+				this.onGone?.();
+			}
+		});
+	}
+
+	get isStarted(): boolean {
+		return this._res.headersSent;
+	}
+
+	head(status: number, headers: readonly string[], length: number | undefined): void {
+		const sent = [...headers];
+		if (length !== undefined) {
+			sent.push('content-length', String(length));
+		}
+
+		this._res.writeHead(status, this._withConnection(sent));
+		if (length === undefined) {
+			this._res.flushHeaders();
+		}
+	}
+
+	data(chunk: Uint8Array): boolean {
+		return this._res.write(chunk);
+	}
+
+	end(): void {
+		this._res.end();
+	}
+
+	cut(): void {
+		this._res.destroy();
+	}
+
+	refuse(refusal: Refusal): void {
+		if (this._res.destroyed || this._res.headersSent) {
+			return;
+		}
+
+		const {status, code, ran} = refusal;
+		const body = JSON.stringify({error: {code, ran}});
+		this._res.writeHead(status, this._withConnection([...this._codec.refusalHeaders(refusal), 'content-type', 'application/json', 'content-length', String(Buffer.byteLength(body))]));
+		this._res.end(body);
+	}
+
+	/** `writeHead` with a list of headers leaves out those that were set before. */
+	private _withConnection(headers: string[]): string[] {
+		if (this._res.getHeader('connection') === 'close') {
+			headers.push('connection', 'close');
+		}
+
+		return headers;
+	}
+}
--- a/src/layers.test.ts
+++ b/src/layers.test.ts
@@ -18,7 +18,7 @@
 };
 
 /** Order of the folders of `common`: a folder imports only from folders before it. */
-const commonOrder = ['base', 'documents', 'rollout', 'consensus', 'control', 'ledger', 'orders', 'evidence', 'routing', 'admission', 'burn', 'status', 'entry', 'host'];
+const commonOrder = ['base', 'documents', 'rollout', 'consensus', 'control', 'ledger', 'orders', 'evidence', 'routing', 'admission', 'burn', 'status', 'entry', 'forwarding', 'release', 'host'];
 
 const files = readdirSync(root, {recursive: true, encoding: 'utf8'}).filter(file => file.endsWith('.ts') && !file.endsWith('.test.ts') && file.includes(path.sep));
 
