--- a/src/common/release/release-supervisor.ts
+++ b/src/common/release/release-supervisor.ts
@@ -23,7 +23,7 @@
 
 /** Share of the sessions at each stage, with the part of the duration at which it begins. */
 const stages = [
-	{from: 0, share: 0.08},
+	{from: 0, share: 0.12},
 	{from: 0.55, share: 0.3},
 	{from: 0.65, share: 1},
 ] as const;
--- a/src/common/release/release-verdict.ts
+++ b/src/common/release/release-verdict.ts
@@ -28,6 +28,8 @@
 const badRatio = 3;
 /** Answers of a route at each release without which latencies are not compared. */
 const leastLatencySamples = 8;
+/** Answers of a route at the new release without which it is not judged good; half of its answers failing would show with 97 %. */
+const leastRouteAnswers = 5;
 /** Standard errors by which the ratio must exceed the bound. */
 const latencySigmas = 3;
 
@@ -37,7 +39,6 @@
 export function judgeRelease(target: string, rows: Iterable<ReleaseCounts>): JudgedRelease {
 	const sums = sumByRoute(target, rows);
 	const all = {target: emptySum(), base: emptySum()};
-	let isGood = true;
 	let reason = '';
 	for (const [route, {target: one, base}] of sums) {
 		addTo(all.target, one);
@@ -51,17 +52,18 @@
 			return judged(releaseVerdict.bad, `answers of ${route} take ${(Math.exp(meanOf(one) - meanOf(base))).toFixed(1)} times as long`, one);
 		}
 
-		if (failures !== releaseVerdict.good) {
-			isGood = false;
-			reason ||= `too few answers of ${route}`;
+		// A route that the release before serves must have been seen to work; one with a few answers is no proof against the others.
+		if (base.answers >= leastRouteAnswers && (one.answers < leastRouteAnswers || one.failures * base.answers > base.failures * one.answers)) {
+			reason ||= `${one.failures} of ${one.answers} answers of ${route} failed`;
 		}
 	}
 
-	if (testFailures(all.target, all.base) === releaseVerdict.bad) {
+	const failures = testFailures(all.target, all.base);
+	if (failures === releaseVerdict.bad) {
 		return judged(releaseVerdict.bad, `${all.target.failures} of ${all.target.answers} answers failed`, all.target);
 	}
 
-	return judged(isGood && all.target.answers > 0 ? releaseVerdict.good : releaseVerdict.open, isGood ? 'no difference found' : reason, all.target);
+	return failures === releaseVerdict.good && reason === '' ? judged(releaseVerdict.good, 'no difference found', all.target) : judged(releaseVerdict.open, reason || 'too few answers', all.target);
 }
 
 function judged(verdict: ReleaseVerdict, reason: string, {answers, failures}: Sum): JudgedRelease {
