Follow a named leader that is not in the list of voters

Ruled out: the recovery of the control group itself, which had a leader 1.1 s after the power. Change: a hint counts whether or not its host is listed; a test with a leader outside the list failed before.

--- a/src/common/control/leader-link.ts
+++ b/src/common/control/leader-link.ts
@@ -13,6 +13,8 @@
 /** Calls to the leader among the voters. Follows hints of other voters and rotates when a voter does not answer. */
 export class LeaderLink {
 	private _target: string | undefined;
+	/** Leader that a voter named; it may have become a voter after the list was made. */
+	private _hint: string | undefined;
 	private _failures = 0;
 
 	constructor(
@@ -80,7 +82,7 @@
 
 	private _pick(): string {
 		const voters = this._voters();
-		if (this._target === undefined || !voters.includes(this._target)) {
+		if (this._target === undefined || (this._target !== this._hint && !voters.includes(this._target))) {
 			// Daemons begin at different voters, so that none gets all first calls.
 			this._target = voters[this._random.integer(voters.length)]!;
 		}
@@ -107,7 +109,8 @@
 		}
 
 		const hint = (error.data as {leader?: string} | undefined)?.leader;
-		if (hint !== undefined && this._voters().includes(hint)) {
+		if (hint !== undefined) {
+			this._hint = hint;
 			this._target = hint;
 		} else {
 			this._rotate(target);
@@ -116,6 +119,7 @@
 
 	private _rotate(target: string): void {
 		const voters = this._voters();
+		this._hint = undefined;
 		this._target = voters[(voters.indexOf(target) + 1) % voters.length];
 	}
 }
