--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -96,8 +96,10 @@
 
 	private _modelContext(): ModelContext | undefined {
 		const {req: {generation}, route} = this._admitted;
-		const total = this._deadlineAt - this._startedAt;
-		return generation && {route, generation, timeLeft: Math.max(0, this._remainingMs) / total};
+		const now = this._services.clock.now();
+		return generation && {
+			route, generation, now, elapsedMs: now - this._startedAt,
+		};
 	}
 
 	/** Sends the request to the best backend server that was not asked before. */
@@ -189,6 +191,7 @@
 		this._mayHaveRun = true;
 		const isFailed = head.status >= 500;
 		const latencyMs = now - sentAt;
+		this._observeLatency(attempt);
 		observer.observe({
 			service, route: route.name, record, isFailed, latencyMs,
 		});
@@ -369,12 +372,23 @@
 	private _timeOut(): void {
 		if (this._current && !this._current.isOver) {
 			this._mayHaveRun = true;
+			if (!this._current.head) {
+				this._observeLatency(this._current);
+			}
+
 			this._leave(this._current, 'timeout');
 		}
 
 		this._giveUp('timeout');
 	}
 
+	private _observeLatency({model, sentAt}: Attempt): void {
+		const context = this._modelContext();
+		if (context && model !== undefined) {
+			this._services.models.observe(context, model, context.now - sentAt);
+		}
+	}
+
 	/** Ends an attempt that is not used any more; its connection is closed, so that the backend server stops. */
 	private _leave(attempt: Attempt, outcome: string): void {
 		this._trail.push(`${attempt.record.server.id}:${attempt.model === undefined ? '' : `${attempt.model}:`}${outcome}`);
--- a/src/common/forwarding/model-policy.ts
+++ b/src/common/forwarding/model-policy.ts
@@ -5,8 +5,9 @@
 export interface ModelContext {
 	readonly route: Route;
 	readonly generation: GenerationInfo;
-	/** Part of the caller's time that is left, from 0 to 1. */
-	readonly timeLeft: number;
+	/** Time in milliseconds since the request arrived. */
+	readonly elapsedMs: number;
+	readonly now: number;
 }
 
 /** Chooses among the models that a route allows. */
@@ -15,23 +16,6 @@
 	first(context: ModelContext): string;
 	/** Larger model to ask instead of accepting an answer; undefined accepts it. */
 	escalate(context: ModelContext, model: string, confidence: number): string | undefined;
-}
-
-/** Starts with one model and asks larger ones while the confidence is below a threshold. */
-export class ThresholdPolicy implements ModelPolicy {
-	constructor(
-		/** Position of the first model in the route's list, smallest first. */
-		private readonly _firstIndex: number,
-		/** Least confidence, from 0 to 100, of an answer that is accepted. */
-		private readonly _threshold: number,
-	) {}
-
-	first({route}: ModelContext): string {
-		return route.models[Math.min(this._firstIndex, route.models.length - 1)]!;
-	}
-
-	escalate({route}: ModelContext, model: string, confidence: number): string | undefined {
-		const largest = route.models.at(-1);
-		return confidence < this._threshold && model !== largest ? largest : undefined;
-	}
+	/** Takes in the time in milliseconds from sending a request to the head of its answer, or until it was given up. */
+	observe(context: ModelContext, model: string, latencyMs: number): void;
 }
--- a/src/daemon/caller-server.ts
+++ b/src/daemon/caller-server.ts
@@ -15,12 +15,15 @@
 /** Time in milliseconds by which an idle connection is kept longer than callers may use it, so that no request meets the close. */
 const idleMarginMs = 1000;
 const headerEndBytes = 4;
+/** Time in seconds after which a caller that met a stopping host may ask another one. */
+const stoppingRetrySeconds = 0.05;
 
 /** Takes requests of callers and hands them to the forwarder. */
 export class CallerServer implements Disposable {
 	private readonly _server: Server;
 	private _limits: CallerLimits | undefined;
 	private _isDraining = false;
+	private _isClosed = false;
 	private _active = 0;
 
 	constructor(private readonly _forwarder: Forwarder, private readonly _codec: CallerCodec) {
@@ -64,8 +67,9 @@
 		this._isDraining = true;
 	}
 
-	/** Takes no new connections and closes those that are idle. */
+	/** Takes no new connections, closes those that are idle, and refuses what still comes on the others. */
 	close(): void {
+		this._isClosed = true;
 		this._server.close();
 		this._server.closeIdleConnections();
 	}
@@ -77,6 +81,14 @@
 
 	private _receive(req: IncomingMessage, res: ServerResponse): void {
 		const sink = new HttpCallerSink(res, this._codec);
+		if (this._isClosed) {
+			sink.refuse({
+				status: 503, code: 'stopping', ran: 'no', retryAfterSeconds: stoppingRetrySeconds,
+			});
+			req.resume();
+			return;
+		}
+
 		const maxBytes = this._limits?.maxBodyBytes ?? defaultBodyBytes;
 		if (this._limits && headerBytes(req) > this._limits.maxHeaderBytes) {
 			sink.refuse({status: 431, code: 'header-too-large', ran: 'no'});
