--- a/src/testing/log-cluster.ts
+++ b/src/testing/log-cluster.ts
@@ -21,6 +21,8 @@
 	readonly retainedSize?: number;
 	readonly segmentSize?: number;
 	readonly rule?: QuorumRule;
+	/** Hosts that create an open group, which any host may join; the others present themselves to these. */
+	readonly seeds?: readonly string[];
 	readonly regionOf?: (host: string) => string;
 	/** The clock of a host, for drift. */
 	readonly clockOf?: (host: string, clock: Clock) => Clock;
@@ -77,7 +79,7 @@
 	/** Starts a host while others move the clock. @returns the error of a member that refuses to start. */
 	async launch(name: string, isBootstrap = true, onStart?: (host: LogHost) => void): Promise<{code?: string} | undefined> {
 		const host = this.host(name);
-		const {clockOf, wrapStorage, segmentSize, regionOf, rule, snapshotInterval, retainedEntries, snapshotSize, retainedSize} = this._options;
+		const {clockOf, wrapStorage, segmentSize, seeds, regionOf, rule, snapshotInterval, retainedEntries, snapshotSize, retainedSize} = this._options;
 		const storage = new DiskLogStorage(host.disk.attach(), {segmentSize});
 		host.starts++;
 		const run = host.starts;
@@ -90,7 +92,8 @@
 			member = await LogMember.start<string, number>({
 				group: 'test',
 				region: regionOf?.(name) ?? 'r',
-				voterHosts: this.names,
+				voterHosts: seeds ?? this.names,
+				isOpen: seeds !== undefined,
 				isBootstrap,
 				clock: clockOf?.(name, this.clock) ?? this.clock,
 				random: this._random.fork(`${name} ${host.starts}`),
