--- /dev/null
+++ b/src/testing/recording-sink.ts
@@ -0,0 +1,37 @@
+import {type CallerSink, type Refusal} from '../common/forwarding/caller-sink.js';
+
+/** Caller that records what it gets. */
+export class RecordingSink implements CallerSink {
+	status: number | undefined;
+	text = '';
+	refusal: Refusal | undefined;
+	isEnded = false;
+	isCut = false;
+	onGone: (() => void) | undefined;
+	onDrain: (() => void) | undefined;
+
+	get isStarted(): boolean {
+		return this.status !== undefined;
+	}
+
+	head(status: number): void {
+		this.status = status;
+	}
+
+	data(chunk: Uint8Array): boolean {
+		this.text += new TextDecoder().decode(chunk);
+		return true;
+	}
+
+	end(): void {
+		this.isEnded = true;
+	}
+
+	cut(): void {
+		this.isCut = true;
+	}
+
+	refuse(refusal: Refusal): void {
+		this.refusal = refusal;
+	}
+}
