--- a/src/common/consensus/core-state.ts
+++ b/src/common/consensus/core-state.ts
@@ -1,6 +1,8 @@
 import {type AppError} from '../base/app-error.js';
 import {type RandomSource} from '../base/random-source.js';
-import {electionTimeoutMaxMs, electionTimeoutMinMs, heartbeatIntervalMs, restartSpreadMs} from './consensus-times.js';
+import {
+	electionTimeoutMaxMs, electionTimeoutMinMs, heartbeatIntervalMs, restartSpreadMs,
+} from './consensus-times.js';
 import {type Deferred} from './deferred.js';
 import {EntryLog} from './entry-log.js';
 import {type Member} from './member.js';
--- a/src/common/control/control-command.ts
+++ b/src/common/control/control-command.ts
@@ -100,6 +100,8 @@
 	readonly state: ServiceRolloutState;
 	/** Share of the sessions that go to the target. */
 	readonly share: number;
+	/** Whether sessions that run on the old release keep it. */
+	readonly holdsSessions: boolean;
 	/** What led to the step, for people. */
 	readonly reason: string;
 }
--- a/src/common/control/leader-link.ts
+++ b/src/common/control/leader-link.ts
@@ -109,11 +109,11 @@
 		}
 
 		const hint = (error.data as {leader?: string} | undefined)?.leader;
-		if (hint !== undefined) {
+		if (hint === undefined) {
+			this._rotate(target);
+		} else {
 			this._hint = hint;
 			this._target = hint;
-		} else {
-			this._rotate(target);
 		}
 	}
 
--- a/src/common/control/service-rollout-table.ts
+++ b/src/common/control/service-rollout-table.ts
@@ -20,19 +20,21 @@
 		}
 
 		this.rollouts.set(service, {
-			service, target, durationMs, startedAt: at, revision: index, share: 0, state: serviceRolloutState.inProgress,
+			service, target, durationMs, startedAt: at, revision: index, share: 0, holdsSessions: true, state: serviceRolloutState.inProgress,
 		});
 		return {status: 'accepted', revision: index};
 	}
 
 	/** Takes a step of the leader; a finished roll-out stays as it is. */
-	step(index: number, {service, target, state, share}: ServiceRolloutStep): ControlResult {
+	step(index: number, {service, target, state, share, holdsSessions}: ServiceRolloutStep): ControlResult {
 		const current = this.rollouts.get(service);
 		if (current?.target !== target || current.state !== serviceRolloutState.inProgress) {
 			return {status: 'ignored', reason: 'the roll-out is not in progress'};
 		}
 
-		this.rollouts.set(service, {...current, state, share});
+		this.rollouts.set(service, {
+			...current, state, share, holdsSessions,
+		});
 		return {status: 'accepted', revision: index};
 	}
 
--- a/src/common/control/service-rollout.ts
+++ b/src/common/control/service-rollout.ts
@@ -14,6 +14,8 @@
 	readonly state: ServiceRolloutState;
 	/** Share of the sessions that go to the target while in progress. */
 	readonly share: number;
+	/** Whether sessions that run on the old release keep it. */
+	readonly holdsSessions: boolean;
 	/** Unix milliseconds of the order at the leader that took it. */
 	readonly startedAt: number;
 	readonly durationMs: number;
--- a/src/common/forwarding/caller-sink.ts
+++ b/src/common/forwarding/caller-sink.ts
@@ -12,8 +12,15 @@
 export interface CallerSink {
 	/** Whether the head of an answer has been sent. */
 	readonly isStarted: boolean;
-	/** Sends the head of an answer; `length` in bytes, where known. */
-	head(status: number, headers: readonly string[], length: number | undefined): void;
+	/** Called once when the caller has left before its answer was complete. */
+	onGone: (() => void) | undefined;
+	onDrain: (() => void) | undefined;
+	/**
+	Sends the head of an answer.
+
+	`framing` is the length in bytes, `chunked`, or `until-close` for a body whose end nothing vouches for.
+	*/
+	head(status: number, headers: readonly string[], framing: number | 'chunked' | 'until-close'): void;
 	/** @returns whether the caller keeps up; after false `onDrain` follows. */
 	data(chunk: Uint8Array): boolean;
 	end(): void;
@@ -21,7 +28,4 @@
 	cut(): void;
 	/** Answers without a backend server. */
 	refuse(refusal: Refusal): void;
-	/** Called once when the caller has left before its answer was complete. */
-	onGone: (() => void) | undefined;
-	onDrain: (() => void) | undefined;
 }
--- a/src/common/forwarding/forward-request.ts
+++ b/src/common/forwarding/forward-request.ts
@@ -85,6 +85,8 @@
 	readonly confidence: number | undefined;
 	/** Length of the body in bytes, where the head tells. */
 	readonly length: number | undefined;
+	/** Whether the body ends with its connection, so that nothing tells a complete one from a short one. */
+	readonly isUnframed: boolean;
 	/** Time in seconds after which the backend server wants to be asked again. */
 	readonly retryAfterSeconds: number | undefined;
 	/** Version of the software or weights, where the head tells. */
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -45,6 +45,8 @@
 	private readonly _trail: string[] = [];
 	private _attempts = 0;
 	private _mayHaveRun = false;
+	/** Whether the stream to the caller can tell that it is complete. */
+	private _isStreamFramed = true;
 	private _lastEventId: number | undefined;
 	private _model: string | undefined;
 	private _current: Attempt | undefined;
@@ -161,15 +163,24 @@
 	}
 
 	private _choose(): ServerRecord | undefined {
-		const {pool, placement, state, clock, zone} = this._services;
+		const {
+			pool, placement, state, clock, zone, sessions,
+		} = this._services;
 		const {req, service} = this._admitted;
 		const parts = req.generation?.parts ?? [];
 		const shared = parts.at(-2)?.id ?? parts[0]?.id;
-		const all = serversForRelease(state().rollouts.get(service), req.session ?? parts.at(-1)?.id ?? req.id, pool.ready(service));
+		const rollout = state().rollouts.get(service);
+		const session = {key: req.session ?? parts.at(-1)?.id ?? req.id, isHeld: req.session !== undefined && sessions.isHeld(req.session)};
+		const all = serversForRelease(rollout, session, pool.ready(service));
 		const fresh = all.filter(({key}) => !this._tried.has(key));
 		// The same server may be asked for another model.
 		const candidates = fresh.length > 0 ? fresh : (this._trail.at(-1)?.endsWith('escalated') ? all : []);
-		return placement.choose({affinityKey: shared, zone}, candidates, clock.now());
+		const record = placement.choose({affinityKey: shared, zone}, candidates, clock.now());
+		if (record && req.session !== undefined && record.server.release !== rollout?.target) {
+			sessions.note(req.session);
+		}
+
+		return record;
 	}
 
 	private _onHead(attempt: Attempt, head: AnswerHead): void {
@@ -213,7 +224,8 @@
 		}
 
 		if (this._isStreamed(head) && !this._sink.isStarted) {
-			this._sink.head(head.status, head.headers, undefined);
+			this._sink.head(head.status, head.headers, head.isUnframed ? 'until-close' : 'chunked');
+			this._isStreamFramed = !head.isUnframed;
 		}
 	}
 
@@ -271,6 +283,13 @@
 
 			this._release(attempt);
 			this._trail.push(`${attempt.record.server.id}:${head.status}`);
+			if (this._isStreamFramed && head.isUnframed) {
+				// Another run began the stream, and the end of this one may be that of a crash.
+				this._sink.cut();
+				this._finish('unframed-end');
+				return;
+			}
+
 			this._sink.end();
 			this._finish('answered');
 			return;
@@ -283,7 +302,7 @@
 
 		this._release(attempt);
 		this._trail.push(`${attempt.record.server.id}:${head.status}`);
-		this._sink.head(head.status, head.headers, attempt.heldBytes);
+		this._sink.head(head.status, head.headers, head.isUnframed ? 'until-close' : attempt.heldBytes);
 		for (const chunk of attempt.held) {
 			this._sink.data(chunk);
 		}
--- a/src/common/forwarding/forward-services.ts
+++ b/src/common/forwarding/forward-services.ts
@@ -20,6 +20,13 @@
 	readonly hostCount: number;
 }
 
+/** Remembers which sessions ran on the release that a roll-out replaces. */
+export interface SessionMemory {
+	/** Notes that a session ran on a release that no roll-out is bringing in. */
+	note(session: string): void;
+	isHeld(session: string): boolean;
+}
+
 /** What requests are forwarded with. */
 export interface ForwardServices {
 	readonly zone: string;
@@ -33,6 +40,7 @@
 	readonly placement: Placement;
 	readonly models: ModelPolicy;
 	readonly observer: ReleaseObserver;
+	readonly sessions: SessionMemory;
 	/** Budget of retries of a service. */
 	readonly budget: (service: string) => RetryBudget;
 	/** Number in [0, 1). */
--- a/src/common/forwarding/forwarder.test.ts
+++ b/src/common/forwarding/forwarder.test.ts
@@ -46,7 +46,7 @@
 	});
 	const budget = new RetryBudget(0.5, 5);
 	const forwarder = new Forwarder({
-		zone: 'z', clock, logger: nullLogger, counters: nullCounters, lease, state: () => ({table, rollouts: new Map(), hostCount: 1}), pool, port, placement: new AffinityPlacement(random), models: new LoadAwareCascade(60, 2), observer: {observe() {}}, budget: () => budget, random: () => random.next(),
+		zone: 'z', clock, logger: nullLogger, counters: nullCounters, lease, state: () => ({table, rollouts: new Map(), hostCount: 1}), pool, port, placement: new AffinityPlacement(random), models: new LoadAwareCascade(60, 2), observer: {observe: () => undefined}, sessions: {note: () => undefined, isHeld: () => false}, budget: () => budget, random: () => random.next(),
 	});
 	const send = (req: Partial<ForwardRequest> = {}) => {
 		const sink = new RecordingSink();
@@ -105,23 +105,57 @@
 
 // Guards against requests that run twice, refusals that are not true, and answers that are broken or another request's.
 it.each<{kind: Repetition; steps: Step[]; status: number; ran?: string; attempts: number}>([
-	{kind: 'idempotent', steps: ['good'], status: 200, attempts: 1},
-	{kind: 'idempotent', steps: ['failed', 'good'], status: 200, attempts: 2},
-	{kind: 'idempotent', steps: ['failed', 'failed', 'failed'], status: 500, attempts: 3},
-	{kind: 'idempotent', steps: ['reset', 'good'], status: 200, attempts: 2},
-	{kind: 'idempotent', steps: ['short', 'good'], status: 200, attempts: 2},
-	{kind: 'idempotent', steps: ['ofAnother', 'good'], status: 200, attempts: 2},
-	{kind: 'idempotent', steps: ['unsigned', 'good'], status: 200, attempts: 2},
-	{kind: 'idempotent', steps: ['notRun', 'notRun', 'notRun'], status: 503, ran: 'no', attempts: 3},
-	{kind: 'idempotent', steps: ['reset', 'notRun', 'notRun'], status: 502, ran: 'unknown', attempts: 3},
-	{kind: 'once', steps: ['good'], status: 200, attempts: 1},
-	{kind: 'once', steps: ['failed'], status: 500, attempts: 1},
-	{kind: 'once', steps: ['reset'], status: 502, ran: 'unknown', attempts: 1},
-	{kind: 'once', steps: ['short'], status: 502, ran: 'unknown', attempts: 1},
-	{kind: 'once', steps: ['unsent', 'good'], status: 200, attempts: 2},
-	{kind: 'once', steps: ['notRun', 'otherServer', 'good'], status: 200, attempts: 3},
-	{kind: 'once', steps: ['notRun', 'reset'], status: 502, ran: 'unknown', attempts: 2},
-	{kind: 'once', steps: ['unsent', 'unsent', 'unsent'], status: 503, ran: 'no', attempts: 3},
+	{
+		kind: 'idempotent', steps: ['good'], status: 200, attempts: 1,
+	},
+	{
+		kind: 'idempotent', steps: ['failed', 'good'], status: 200, attempts: 2,
+	},
+	{
+		kind: 'idempotent', steps: ['failed', 'failed', 'failed'], status: 500, attempts: 3,
+	},
+	{
+		kind: 'idempotent', steps: ['reset', 'good'], status: 200, attempts: 2,
+	},
+	{
+		kind: 'idempotent', steps: ['short', 'good'], status: 200, attempts: 2,
+	},
+	{
+		kind: 'idempotent', steps: ['ofAnother', 'good'], status: 200, attempts: 2,
+	},
+	{
+		kind: 'idempotent', steps: ['unsigned', 'good'], status: 200, attempts: 2,
+	},
+	{
+		kind: 'idempotent', steps: ['notRun', 'notRun', 'notRun'], status: 503, ran: 'no', attempts: 3,
+	},
+	{
+		kind: 'idempotent', steps: ['reset', 'notRun', 'notRun'], status: 502, ran: 'unknown', attempts: 3,
+	},
+	{
+		kind: 'once', steps: ['good'], status: 200, attempts: 1,
+	},
+	{
+		kind: 'once', steps: ['failed'], status: 500, attempts: 1,
+	},
+	{
+		kind: 'once', steps: ['reset'], status: 502, ran: 'unknown', attempts: 1,
+	},
+	{
+		kind: 'once', steps: ['short'], status: 502, ran: 'unknown', attempts: 1,
+	},
+	{
+		kind: 'once', steps: ['unsent', 'good'], status: 200, attempts: 2,
+	},
+	{
+		kind: 'once', steps: ['notRun', 'otherServer', 'good'], status: 200, attempts: 3,
+	},
+	{
+		kind: 'once', steps: ['notRun', 'reset'], status: 502, ran: 'unknown', attempts: 2,
+	},
+	{
+		kind: 'once', steps: ['unsent', 'unsent', 'unsent'], status: 503, ran: 'no', attempts: 3,
+	},
 ])('answers $kind request with $status after $steps', ({kind, steps, status, ran, attempts}) => {
 	const {port, send} = world(kind);
 	port.onAttempt = (attempt, index) => {
@@ -138,7 +172,9 @@
 
 // Guards against work under a configuration that may be out of date, and against requests that nothing allows.
 it.each<{name: string; req: Partial<ForwardRequest>; leaseEnd?: number; status: number}>([
-	{name: 'no lease', req: {}, leaseEnd: 0, status: 503},
+	{
+		name: 'no lease', req: {}, leaseEnd: 0, status: 503,
+	},
 	{name: 'an unknown key', req: {key: 'other'}, status: 401},
 	{name: 'no key', req: {key: undefined}, status: 401},
 	{name: 'an unknown path', req: {path: '/b/'}, status: 404},
--- a/src/common/host/control-host.ts
+++ b/src/common/host/control-host.ts
@@ -27,6 +27,7 @@
 import {type ServiceRollout} from '../control/service-rollout.js';
 import {VotersSource} from '../control/voters-section.js';
 import {ReleaseSupervisor} from '../release/release-supervisor.js';
+import {SessionHoldExchange} from '../release/session-holds.js';
 
 /** What a control host is built from. */
 export interface ControlHostOptions {
@@ -43,6 +44,8 @@
 	readonly counters: Counters;
 	readonly logger: Logger;
 	readonly storage: LogStorage;
+	/** Time in milliseconds after a request for which its session counts as running. */
+	readonly sessionMs: number;
 	/** Time in seconds for which callers keep the list of entry hosts. */
 	readonly keepSeconds: number;
 }
@@ -88,6 +91,7 @@
 		this._heartbeats = this._store.add(new BackendHeartbeats({...shared, leadership: this._service.leadership}));
 		const supervisor = this._store.add(new ReleaseSupervisor({...shared, leadership: this._service.leadership}));
 		this._store.add(this._service.addSection(supervisor));
+		this._store.add(this._service.addSection(new SessionHoldExchange(clock, _options.sessionMs)));
 		this._link = new LeaderLink(transport, () => [...new Set([...this._voters, ...seeds()])], clock, random);
 		this._entryList = new EntryList(_state, {isValid: () => true}, keepSeconds);
 	}
--- a/src/common/host/forward-host.ts
+++ b/src/common/host/forward-host.ts
@@ -21,6 +21,7 @@
 import {type RoutingConfig} from '../forwarding/routing-config.js';
 import {ServerPool} from '../forwarding/server-pool.js';
 import {ReleaseRecorder} from '../release/release-recorder.js';
+import {SessionHolds} from '../release/session-holds.js';
 
 /** What a forwarding host is built from. */
 export interface ForwardHostOptions {
@@ -38,6 +39,8 @@
 	readonly parseRouting: (source: string) => RoutingConfig;
 	/** Share of the requests of a service that may be sent again. */
 	readonly retryShare: number;
+	/** Time in milliseconds after a request for which its session counts as running. */
+	readonly sessionMs: number;
 	/** Retries that one host may save up. */
 	readonly savedRetries: number;
 }
@@ -65,6 +68,8 @@
 		this._recorder = new ReleaseRecorder(service => this.follower.view.serviceRollouts.get(service)?.state === serviceRolloutState.inProgress);
 		this._store.add(this.follower.addSection(this._voters));
 		this._store.add(this.follower.addSection(this._recorder));
+		const sessions = new SessionHolds(clock, _options.sessionMs, () => [...this.follower.view.serviceRollouts.values()].some(({state, holdsSessions}) => state === serviceRolloutState.inProgress && holdsSessions));
+		this._store.add(this.follower.addSection(sessions));
 		this._store.add(this.follower.onRevision(() => {
 			this._apply();
 		}));
@@ -86,6 +91,7 @@
 			placement: new AffinityPlacement(random.fork('placement')),
 			models,
 			observer: this._recorder,
+			sessions,
 			budget: service => this._budget(service),
 			random: () => random.next(),
 		});
--- a/src/common/release/release-supervisor.ts
+++ b/src/common/release/release-supervisor.ts
@@ -23,16 +23,26 @@
 
 /** Share of the sessions at each stage, with the part of the duration at which it begins. */
 const stages = [
+	{from: 0, share: 0},
 	{from: 0, share: 0.12},
 	{from: 0.55, share: 0.3},
 	{from: 0.65, share: 1},
 ] as const;
+/** Part of the duration from which sessions may change to the new release. */
+const movesFrom = 0.55;
+/** Time in milliseconds from the order to the first share: two renewals, by which hosts tell each other the running sessions. */
+const tellSessionsMs = 2200;
 /** Part of the duration at which a release that is good is complete; the rest is for the answers that the old one still gives. */
 const completeAt = 0.82;
 /** Part of the duration at which a release without enough evidence is reverted. */
 const giveUpAt = 0.93;
 const sweepIntervalMs = 200;
 
+/** Share of the stage that begins at a part of the duration. */
+function stageShareFrom(part: number): number {
+	return stages.find(({from}) => from === part)!.share;
+}
+
 /** Moves roll-outs of releases forward at the leader, on the evidence of all entry hosts, and reverts bad ones. */
 export class ReleaseSupervisor implements LeaderSection<readonly ReleaseCounts[], never>, Disposable {
 	readonly section = releaseSection;
@@ -90,7 +100,8 @@
 		const rows = [...this._rows.values()].map(({counts}) => counts).filter(counts => counts.service === service);
 		const {verdict, reason, answers, failures} = judgeRelease(target, rows);
 		const evidence = `${reason}; ${failures} of ${answers} failed`;
-		const part = (clock.wallTime() - startedAt) / durationMs;
+		const elapsedMs = clock.wallTime() - startedAt;
+		const part = elapsedMs / durationMs;
 		const hasTarget = [...state.backendServers.values()].some(({services, release, isDraining}) => release === target && !isDraining && services.includes(service));
 		if (verdict === releaseVerdict.bad) {
 			this._step(rollout, serviceRolloutState.reverted, 0, evidence);
@@ -107,8 +118,8 @@
 			return;
 		}
 
-		const stage = stages.findLast(({from}) => part >= from) ?? stages[0];
-		const allowed = verdict === releaseVerdict.good || stage.share === stages[0].share ? stage.share : share;
+		const stage = elapsedMs < tellSessionsMs ? stages[0] : stages.findLast(({from}) => part >= from)!;
+		const allowed = verdict === releaseVerdict.good || stage.from === 0 ? stage.share : share;
 		if (hasTarget && allowed > share) {
 			this._step(rollout, serviceRolloutState.inProgress, allowed, evidence);
 		}
@@ -117,7 +128,7 @@
 	private _step({service, target}: ServiceRollout, state: ServiceRolloutState, share: number, reason: string): void {
 		this._isProposing = true;
 		void this._propose({
-			type: 'service-rollout-step', service, target, state, share, reason,
+			type: 'service-rollout-step', service, target, state, share, reason, holdsSessions: share < stageShareFrom(movesFrom),
 		});
 	}
 
--- a/src/common/release/release-verdict.test.ts
+++ b/src/common/release/release-verdict.test.ts
@@ -26,11 +26,21 @@
 
 // Guards against a bad release that is completed and a good one that is reverted; each row is judged on 50 seeds.
 it.each<{name: string; base: Load; target: Load; verdict: ReleaseVerdict; least: number}>([
-	{name: 'a good release', base: healthy, target: {...healthy, answers: 60}, verdict: releaseVerdict.good, least: 50},
-	{name: 'failing answers', base: healthy, target: {answers: 30, failureShare: 0.5, latencyMs: 100}, verdict: releaseVerdict.bad, least: 50},
-	{name: 'slow answers', base: healthy, target: {answers: 30, failureShare: 0, latencyMs: 800}, verdict: releaseVerdict.bad, least: 50},
-	{name: 'a service that always fails some', base: flaky, target: {...flaky, answers: 100}, verdict: releaseVerdict.bad, least: 0},
-	{name: 'too few answers', base: healthy, target: {...healthy, answers: 3}, verdict: releaseVerdict.open, least: 50},
+	{
+		name: 'a good release', base: healthy, target: {...healthy, answers: 60}, verdict: releaseVerdict.good, least: 50,
+	},
+	{
+		name: 'failing answers', base: healthy, target: {answers: 30, failureShare: 0.5, latencyMs: 100}, verdict: releaseVerdict.bad, least: 50,
+	},
+	{
+		name: 'slow answers', base: healthy, target: {answers: 30, failureShare: 0, latencyMs: 800}, verdict: releaseVerdict.bad, least: 50,
+	},
+	{
+		name: 'a service that always fails some', base: flaky, target: {...flaky, answers: 100}, verdict: releaseVerdict.bad, least: 0,
+	},
+	{
+		name: 'too few answers', base: healthy, target: {...healthy, answers: 3}, verdict: releaseVerdict.open, least: 50,
+	},
 ])('judges $name', ({base, target, verdict, least}) => {
 	const verdicts = Array.from({length: 50}, (_, seed) => {
 		const random = new SeededRandom(seed);
--- a/src/daemon/http-caller-sink.ts
+++ b/src/daemon/http-caller-sink.ts
@@ -22,14 +22,17 @@
 		return this._res.headersSent;
 	}
 
-	head(status: number, headers: readonly string[], length: number | undefined): void {
+	head(status: number, headers: readonly string[], framing: number | 'chunked' | 'until-close'): void {
 		const sent = [...headers];
-		if (length !== undefined) {
-			sent.push('content-length', String(length));
+		if (framing === 'until-close') {
+			this._res.useChunkedEncodingByDefault = false;
+			this._res.setHeader('connection', 'close');
+		} else if (framing !== 'chunked') {
+			sent.push('content-length', String(framing));
 		}
 
 		this._res.writeHead(status, this._withConnection(sent));
-		if (length === undefined) {
+		if (typeof framing !== 'number') {
 			this._res.flushHeaders();
 		}
 	}
--- a/src/node/http-backend-port.test.ts
+++ b/src/node/http-backend-port.test.ts
@@ -1,5 +1,6 @@
-import {createServer, type Server, type Socket} from 'node:net';
-import {type AddressInfo} from 'node:net';
+import {
+	createServer, type Server, type Socket, type AddressInfo,
+} from 'node:net';
 import {afterEach, expect, it} from 'vitest';
 import {nullLogger} from '../common/base/null-logger.js';
 import {type AnswerHead} from '../common/forwarding/forward-request.js';
@@ -9,7 +10,7 @@
 const codec: BackendCodec = {
 	encodeHeaders: () => ['host', 'h.example'],
 	decodeHead: (status, headers) => ({
-		status, headers: [], isNotRun: false, isOtherServer: false, isSigned: true, isForRequest: true, confidence: undefined, length: headers['content-length'] === undefined ? undefined : Number(headers['content-length']), retryAfterSeconds: undefined, weights: undefined,
+		status, headers: [], isNotRun: false, isOtherServer: false, isSigned: true, isForRequest: true, confidence: undefined, length: headers['content-length'] === undefined ? undefined : Number(headers['content-length']), isUnframed: false, retryAfterSeconds: undefined, weights: undefined,
 	}),
 };
 
--- a/src/node/http-backend-port.ts
+++ b/src/node/http-backend-port.ts
@@ -28,7 +28,7 @@
 		const exchange = new HttpAttempt(this._codec, terms, events, unframed);
 		try {
 			pool.dispatch({
-				method: message.method as Dispatcher.HttpMethod,
+				method: message.method,
 				path: message.target,
 				headers: this._codec.encodeHeaders(message, terms),
 				body: message.body && Buffer.from(message.body.buffer, message.body.byteOffset, message.body.byteLength),
--- a/src/node/prometheus-counters.ts
+++ b/src/node/prometheus-counters.ts
@@ -1,4 +1,6 @@
-import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
 import {type Counters, type Tags} from '../common/base/counters.js';
 
 /** Upper bounds in milliseconds of the buckets of durations: from a local call to the longest time limit of a route. */
--- a/xo.config.ts
+++ b/xo.config.ts
@@ -1,7 +1,7 @@
 import {type FlatXoConfig} from 'xo';
 
 const config: FlatXoConfig = [
-	{ignores: ['dist/**', 'docs/**', 'examples/**']},
+	{ignores: ['dist/**', 'target/**', 'journal/**', 'docs/**', 'examples/**']},
 	{
 		rules: {
 			// The house style asks for interfaces wherever behaviour varies.
@@ -10,6 +10,13 @@
 			'unicorn/prevent-abbreviations': 'off',
 		},
 	},
+	{
+		files: ['platform/**'],
+		rules: {
+			// Names on the wire are the platform's own.
+			'@typescript-eslint/naming-convention': 'off',
+		},
+	},
 ];
 
 export default config;
