Split the request path into small files and meet the formatter

Cause: ForwardRun had grown to 430 lines, with model choice, server choice, relaying and reporting in one class.

--- a/src/common/control/leader-link.test.ts
+++ b/src/common/control/leader-link.test.ts
@@ -20,7 +20,7 @@
 
 			throw new PeerCallError('not the leader', 'not-leader', {leader});
 		},
-		handle: () => ({dispose() {}}),
+		handle: () => ({dispose: () => undefined}),
 	};
 }
 
--- /dev/null
+++ b/src/common/forwarding/attempt-terms.ts
@@ -0,0 +1,34 @@
+import {type AttemptTerms} from './forward-request.js';
+import {type AdmittedRequest} from './forwarder.js';
+import {type ForwardServices} from './forward-services.js';
+import {type ServerRecord} from './server-pool.js';
+
+/** Share of the connections of a backend server that all hosts together use; the rest is for health checks and hosts that join. */
+const connectionShare = 0.8;
+
+/** What differs between the attempts of a request. */
+export type AttemptState = Pick<AttemptTerms, 'remainingMs' | 'model' | 'resumeAfter'>;
+
+/** What the router adds to a request for one attempt. */
+export function attemptTerms(services: ForwardServices, admitted: AdmittedRequest, {server}: ServerRecord, {remainingMs, model, resumeAfter}: AttemptState): AttemptTerms {
+	const {req, route, customer, service} = admitted;
+	return {
+		requestId: req.id,
+		serverId: server.id,
+		address: server.address,
+		maxConnections: maxConnectionsOf(services, service),
+		remainingMs: Math.max(1, Math.floor(remainingMs)),
+		customer: customer?.name,
+		model: model ?? req.generation?.model,
+		priority: req.generation && (customer?.priority ?? route.priority),
+		resumeAfter,
+		repetition: route.repetition,
+	};
+}
+
+/** Connections of this host to one backend server of a service: its share of what the backend server accepts. */
+function maxConnectionsOf({state}: ForwardServices, service: string): number {
+	const {table, hostCount} = state();
+	const connections = table?.services.get(service)?.maxConnections ?? 1;
+	return Math.max(1, Math.floor(connections * connectionShare / Math.max(1, hostCount)));
+}
--- /dev/null
+++ b/src/common/forwarding/request-model.ts
@@ -0,0 +1,52 @@
+import {type Attempt} from './attempt.js';
+import {type AdmittedRequest} from './forwarder.js';
+import {type ForwardServices} from './forward-services.js';
+import {type ModelContext} from './model-policy.js';
+
+/** The model of one request, where the router chooses it. */
+export class RequestModel {
+	private _name: string | undefined;
+
+	constructor(
+		private readonly _services: Pick<ForwardServices, 'clock' | 'models'>,
+		private readonly _admitted: AdmittedRequest,
+		private readonly _startedAt: number,
+	) {
+		const context = this._context();
+		if (context && context.route.models.length > 0 && context.generation.model === undefined) {
+			this._name = _services.models.first(context);
+		}
+	}
+
+	/** The chosen model; undefined where the caller chose it, and for requests to plain services. */
+	get name(): string | undefined {
+		return this._name;
+	}
+
+	/** Larger model to ask in place of accepting an answer. */
+	largerThan(model: string | undefined, confidence: number | undefined): string | undefined {
+		const context = this._context();
+		return context && model !== undefined && confidence !== undefined ? this._services.models.escalate(context, model, confidence) : undefined;
+	}
+
+	/** Uses a model for the attempts from now on. */
+	use(model: string): void {
+		this._name = model;
+	}
+
+	/** Tells the policy the time from sending an attempt until now. */
+	observe({model, sentAt}: Attempt): void {
+		const context = this._context();
+		if (context && model !== undefined) {
+			this._services.models.observe(context, model, context.now - sentAt);
+		}
+	}
+
+	private _context(): ModelContext | undefined {
+		const {req: {generation}, route} = this._admitted;
+		const now = this._services.clock.now();
+		return generation && {
+			route, generation, now, elapsedMs: now - this._startedAt,
+		};
+	}
+}
--- a/src/daemon/caller-server.ts
+++ b/src/daemon/caller-server.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
@@ -96,7 +97,7 @@
 			return;
 		}
 
-		const chunks: Buffer[] = [];
+		const chunks: Uint8Array[] = [];
 		let size = 0;
 		let isRefused = false;
 		const refuseBody = () => {
@@ -111,7 +112,7 @@
 			return;
 		}
 
-		req.on('data', (chunk: Buffer) => {
+		req.on('data', (chunk: Uint8Array) => {
 			size += chunk.length;
 			if (isRefused) {
 				return;
--- a/src/daemon/http-caller-sink.ts
+++ b/src/daemon/http-caller-sink.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
 import {type CallerSink, type Refusal} from '../common/forwarding/caller-sink.js';
 import {type CallerCodec} from './caller-codec.js';
--- a/src/node/http-backend-port.ts
+++ b/src/node/http-backend-port.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {buildConnector, type Dispatcher, Pool} from 'undici';
 import {type Disposable} from '../common/base/disposable.js';
 import {type Logger} from '../common/base/logger.js';
--- a/src/testing/scripted-port.ts
+++ b/src/testing/scripted-port.ts
@@ -26,7 +26,7 @@
 			abort() {
 				attempt.isAborted = true;
 			},
-			resume() {},
+			resume: () => undefined,
 		};
 	}
 }
