Tell refused callers when a starting host will probably have its lease

Change: a host that waits for its first lease names the time to it; members that restart spread their first election over 0.15 s. Conclusion: the time without any host remains.

--- a/src/common/consensus/consensus-times.ts
+++ b/src/common/consensus/consensus-times.ts
@@ -8,7 +8,7 @@
 export const electionTimeoutMaxMs = 1200;
 
 /** Range in milliseconds over which members that restart spread their first election; wide against a round trip between zones. */
-export const restartSpreadMs = 300;
+export const restartSpreadMs = 150;
 
 /** Allowed drift of a clock against true time. */
 export const maxClockDrift = 0.01;
--- a/src/common/consensus/core-state.ts
+++ b/src/common/consensus/core-state.ts
@@ -70,8 +70,8 @@
 		this.heardLeaderAt = options.startedAt ?? now;
 		this.resetElectionTimer();
 		if (options.startedAt !== undefined) {
-			// A leader that lives is heard within a heartbeat; after a loss of all members nobody must wait for one.
-			this.electionDeadline = Math.max(now, this.heardLeaderAt + electionTimeoutMinMs) + heartbeatIntervalMs + Math.floor(this._random.next() * restartSpreadMs);
+			// A leader that lives is heard within a heartbeat; after a loss of all members nobody must wait for one. Half an interval is enough: the pre-vote fails while a leader lives.
+			this.electionDeadline = Math.max(now, this.heardLeaderAt + electionTimeoutMinMs) + (heartbeatIntervalMs / 2) + Math.floor(this._random.next() * restartSpreadMs);
 		}
 
 		this.follow(undefined);
--- a/src/common/forwarding/forwarder.ts
+++ b/src/common/forwarding/forwarder.ts
@@ -4,8 +4,12 @@
 import {type CallerSink, type Refusal} from './caller-sink.js';
 import {type Customer, type Route} from './routing-config.js';
 
-/** Time in seconds after which a caller may come back to a host that waits for its lease. */
-const leaseRetrySeconds = 0.5;
+/** Time in seconds from the start of a host to its first lease when all hosts start together: loading, an election and a renewal. */
+const firstLeaseSeconds = 1.3;
+/** Least time in seconds after which a caller may come back to a host that waits for its lease: a renewal and a try. */
+const leaseRetrySeconds = 0.4;
+/** Range in seconds over which callers are spread that come back after a lease. */
+const leaseRetrySpreadSeconds = 0.3;
 
 /** A request that may be forwarded, with what the configuration says of it. */
 export interface AdmittedRequest {
@@ -20,8 +24,11 @@
 /** Checks requests against the configuration and forwards those that it allows. */
 export class Forwarder {
 	private _active = 0;
+	private readonly _startedAt: number;
 
-	constructor(private readonly _services: ForwardServices) {}
+	constructor(private readonly _services: ForwardServices) {
+		this._startedAt = _services.clock.now();
+	}
 
 	/** Requests in progress. */
 	get active(): number {
@@ -48,12 +55,19 @@
 		run.start();
 	}
 
+	/** Time in seconds after which this host probably has a lease: known after a start, otherwise that of a short fault. */
+	private _leaseWaitSeconds(): number {
+		const {clock, random} = this._services;
+		const untilFirst = firstLeaseSeconds - ((clock.now() - this._startedAt) / 1000);
+		return Math.max(leaseRetrySeconds, untilFirst) + (random() * leaseRetrySpreadSeconds);
+	}
+
 	private _admit(req: ForwardRequest): AdmittedRequest | Refusal {
 		const {lease, state, random} = this._services;
 		const {table} = state();
 		if (!table || !lease.isValid()) {
 			return {
-				status: 503, code: table ? 'lease-expired' : 'not-configured', ran: 'no', retryAfterSeconds: leaseRetrySeconds,
+				status: 503, code: table ? 'lease-expired' : 'not-configured', ran: 'no', retryAfterSeconds: this._leaseWaitSeconds(),
 			};
 		}
 
