Let runs of the largest model follow those of the smallest

Cause: a first, cheap run waited up to a second behind the long prompts that the largest model was reading, so that its doubtful answer left no time for the second run.

--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -92,7 +92,7 @@
 		this._attempts++;
 		this._tried.add(record.key);
 		attempt.handle = port.send(this._admitted.req.message, attemptTerms(this._services, this._admitted, record, {
-			remainingMs: this._remainingMs, model: attempt.model, resumeAfter: this._relay.lastEventId,
+			remainingMs: this._remainingMs, model: attempt.model, resumeAfter: this._relay.lastEventId, isEscalated: this._model.isEscalated,
 		}), this._eventsOf(attempt));
 	}
 
--- a/src/common/forwarding/request-model.ts
+++ b/src/common/forwarding/request-model.ts
@@ -6,6 +6,7 @@
 /** The model of one request, where the router chooses it. */
 export class RequestModel {
 	private _name: string | undefined;
+	private _isEscalated = false;
 
 	constructor(
 		private readonly _services: Pick<ForwardServices, 'clock' | 'models'>,
@@ -23,6 +24,11 @@
 		return this._name;
 	}
 
+	/** Whether a larger model took the place of the first one. */
+	get isEscalated(): boolean {
+		return this._isEscalated;
+	}
+
 	/** Larger model to ask in place of accepting an answer. */
 	largerThan(model: string | undefined, confidence: number | undefined): string | undefined {
 		const context = this._context();
@@ -32,6 +38,7 @@
 	/** Uses a model for the attempts from now on. */
 	use(model: string): void {
 		this._name = model;
+		this._isEscalated = true;
 	}
 
 	/** Tells the policy the time from sending an attempt until now. */
