Escalate in proportion to the load

Change: the time of the run that has just ended counts as a sign of the queue, and above half of the load only the more doubtful answers are asked again.

--- a/src/common/forwarding/load-aware-cascade.ts
+++ b/src/common/forwarding/load-aware-cascade.ts
@@ -1,6 +1,12 @@
 import {LatencyAverage} from './latency-average.js';
 import {type ModelContext, type ModelPolicy} from './model-policy.js';
 
+/**
+Part of the load at which the largest model can no longer answer in time, up to which every doubtful answer is asked again.
+Above it the most doubtful ones are, fewer and fewer: runs that were just sent do not show in any latency yet.
+*/
+const fullUntilLoad = 0.5;
+
 /**
 Asks the smallest model first and the largest one when the answer is doubtful and the largest one can still answer in time.
 
@@ -23,12 +29,15 @@
 
 	escalate({route, elapsedMs, now}: ModelContext, model: string, confidence: number): string | undefined {
 		const largest = route.models.at(-1);
-		if (largest === undefined || model === largest || confidence >= this._threshold) {
+		if (largest === undefined || model === largest) {
 			return undefined;
 		}
 
-		const expectedMs = this._latencies.get(`${route.name}/${largest}`)?.at(now) ?? 0;
-		return expectedMs * this._margin <= route.targetLatencyMs - elapsedMs ? largest : undefined;
+		// The run that has just ended shows the engines' queue before the runs of the largest model do.
+		const expectedMs = Math.max(this._latencies.get(`${route.name}/${largest}`)?.at(now) ?? 0, elapsedMs);
+		const load = expectedMs * this._margin / Math.max(1, route.targetLatencyMs - elapsedMs);
+		const openness = Math.min(1, Math.max(0, (1 - load) / (1 - fullUntilLoad)));
+		return confidence < this._threshold * openness ? largest : undefined;
 	}
 
 	observe({route, now}: ModelContext, model: string, latencyMs: number): void {
