--- a/src/common/control/control-state.ts
+++ b/src/common/control/control-state.ts
@@ -6,7 +6,7 @@
 import {ChangeHistory} from './change-history.js';
 import {type ChangeRecord} from './change-record.js';
 import {
-	type ApplyRouting, type ControlCommand, type Quarantine, type RemoveDocument, type SubmitDocument, type WithdrawVersion,
+	type ControlCommand, type Quarantine, type RemoveDocument, type SubmitDocument, type WithdrawVersion,
 } from './control-command.js';
 import {type ControlResult} from './control-result.js';
 import {type ControlView} from './control-view.js';
@@ -16,6 +16,7 @@
 import {type QuarantineRecord} from './quarantine-record.js';
 import {RolloutTable} from './rollout-table.js';
 import {type RoutingRecord} from './routing-record.js';
+import {RoutingSlot} from './routing-slot.js';
 import {ServiceRolloutTable} from './service-rollout-table.js';
 import {type ServiceRollout} from './service-rollout.js';
 
@@ -29,11 +30,9 @@
 	lifted: Array<[string, number]>;
 	rollouts: Array<[string, RolloutState]>;
 	changes: Array<[string, ChangeRecord]>;
-	/** Absent in snapshots of earlier versions. */
+	/** These are absent in snapshots of earlier versions. */
 	burn?: BurnSumSnapshot;
-	/** Absent in snapshots of earlier versions. */
 	routing?: RoutingRecord;
-	/** Absent in snapshots of earlier versions. */
 	serviceRollouts?: Array<[string, ServiceRollout]>;
 };
 
@@ -52,7 +51,7 @@
 	private readonly _lifted = new Map<string, number>();
 	private readonly _rollouts = new RolloutTable();
 	private readonly _serviceRollouts = new ServiceRolloutTable();
-	private _routing: RoutingRecord | undefined;
+	private readonly _routing = new RoutingSlot();
 	private readonly _changes = new ChangeHistory();
 
 	get revision(): number {
@@ -102,7 +101,7 @@
 
 	/** The routing configuration with the highest version; undefined before the first. */
 	get routing(): RoutingRecord | undefined {
-		return this._routing;
+		return this._routing.record;
 	}
 
 	isQuarantined(service: string, requestClass: string, ref: VersionRef): boolean {
@@ -152,7 +151,7 @@
 			}
 
 			case 'apply-routing': {
-				return this._applyRouting(index, command);
+				return this._routing.apply(index, command);
 			}
 
 			case 'start-service-rollout': {
@@ -186,7 +185,7 @@
 			rollouts: this._rollouts.snapshot(),
 			changes: this._changes.snapshot(),
 			burn: this.burnSums.snapshot(),
-			routing: this._routing,
+			routing: this._routing.record,
 			serviceRollouts: this._serviceRollouts.snapshot(),
 		};
 		// The records are replaced and never changed in place, so a snapshot may share them.
@@ -212,7 +211,7 @@
 		this.burnSums.restore(data.burn);
 		this._rollouts.restore(data.rollouts);
 		this._serviceRollouts.restore(data.serviceRollouts);
-		this._routing = data.routing;
+		this._routing.restore(data.routing);
 		this._lifted.clear();
 		for (const [key, revision] of data.lifted) {
 			this._lifted.set(key, revision);
@@ -277,15 +276,6 @@
 		return {status: 'accepted', revision: index};
 	}
 
-	private _applyRouting(index: number, {version, source}: ApplyRouting): ControlResult {
-		if (this._routing && this._routing.version >= version) {
-			return {status: 'ignored', reason: `version ${this._routing.version} is in place`};
-		}
-
-		this._routing = {version, source, revision: index};
-		return {status: 'accepted', revision: index};
-	}
-
 	private _quarantine(index: number, {type, service, requestClass, ref, reason}: Quarantine): ControlResult {
 		const key = quarantineKey(service, requestClass, ref);
 		if (type === 'quarantine') {
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -9,7 +9,9 @@
 import {type ForwardServices} from './forward-services.js';
 import {type AdmittedRequest} from './forwarder.js';
 import {mayHaveRunAnswer, notRunAnswer, timeoutReason} from './own-answers.js';
+import {guardedEvents} from './guarded-events.js';
 import {RequestModel} from './request-model.js';
+import {mayRepeat} from './may-repeat.js';
 import {reportRequest} from './request-report.js';
 import {repetition} from './routing-config.js';
 
@@ -24,6 +26,8 @@
 	private readonly _deadlineAt: number;
 	private readonly _model: RequestModel;
 	private readonly _relay: AnswerRelay;
+	/** Whether the request may run more than once. */
+	private readonly _isRepeatable: boolean;
 	private readonly _tried = new Set<string>();
 	/** What became of each attempt, for the log. */
 	private readonly _trail: string[] = [];
@@ -42,6 +46,7 @@
 		const {req, route} = _admitted;
 		this._startedAt = _services.clock.now();
 		this._deadlineAt = this._startedAt + Math.min(req.deadlineMs ?? Infinity, route.timeoutMs);
+		this._isRepeatable = mayRepeat(route);
 		this._relay = new AnswerRelay(_sink, route.repetition === repetition.stream, req.resumeAfter);
 		this._model = new RequestModel(_services, _admitted, this._startedAt);
 	}
@@ -63,11 +68,6 @@
 		this._attempt();
 	}
 
-	private get _mayRepeat(): boolean {
-		const {route} = this._admitted;
-		return route.repetition === repetition.idempotent || (route.repetition === repetition.stream && route.isResumable);
-	}
-
 	private get _remainingMs(): number {
 		return this._deadlineAt - this._services.clock.now();
 	}
@@ -98,30 +98,18 @@
 
 	/** Events of an attempt, as long as it is in use. */
 	private _eventsOf(attempt: Attempt): AttemptEvents {
-		const ifOn = (handle: () => void) => {
-			if (!attempt.isOver && !this._isOver) {
-				handle();
-			}
-		};
-
-		return {
+		return guardedEvents(() => !attempt.isOver && !this._isOver, {
 			onHead: head => {
-				ifOn(() => {
-					this._onHead(attempt, head);
-				});
+				this._onHead(attempt, head);
 			},
-			onData: chunk => attempt.isOver || this._isOver || this._onData(attempt, chunk),
+			onData: chunk => this._onData(attempt, chunk),
 			onEnd: () => {
-				ifOn(() => {
-					this._onEnd(attempt);
-				});
+				this._onEnd(attempt);
 			},
 			onFailure: failure => {
-				ifOn(() => {
-					this._onFailure(attempt, failure);
-				});
+				this._onFailure(attempt, failure);
 			},
-		};
+		});
 	}
 
 	private _onHead(attempt: Attempt, head: AnswerHead): void {
@@ -139,7 +127,7 @@
 		this._mayHaveRun = true;
 		const isFailed = head.status >= 500;
 		this._observe(attempt, isFailed);
-		if (isFailed && this._mayRepeat && this._takeRetry()) {
+		if (isFailed && this._isRepeatable && this._takeRetry()) {
 			this._leave(attempt, `status-${head.status}`);
 			this._attempt();
 			return;
@@ -173,7 +161,7 @@
 
 	/** Asks a larger model when the answer is not good enough; the answer so far is dropped. */
 	private _escalate(attempt: Attempt, {confidence}: AnswerHead): boolean {
-		const larger = this._mayRepeat && this._attempts < this._admitted.route.maxAttempts ? this._model.largerThan(attempt.model, confidence) : undefined;
+		const larger = this._isRepeatable && this._attempts < this._admitted.route.maxAttempts ? this._model.largerThan(attempt.model, confidence) : undefined;
 		if (larger === undefined || !this._takeRetry()) {
 			return false;
 		}
@@ -196,14 +184,9 @@
 
 	private _onEnd(attempt: Attempt): void {
 		const {head} = attempt;
-		if (!head) {
-			this._fail(attempt, 'no-answer');
-			return;
-		}
-
-		const problem = this._relay.problemOf(attempt, head);
-		if (problem) {
-			this._fail(attempt, problem);
+		const problem = head ? this._relay.problemOf(attempt, head) : 'no-answer';
+		if (!head || problem) {
+			this._fail(attempt, problem ?? 'no-answer');
 			return;
 		}
 
@@ -238,11 +221,7 @@
 		}
 
 		this._leave(attempt, isOtherServer ? 'other-server' : 'not-run');
-		if (this._takeRetry()) {
-			this._attempt();
-		} else {
-			this._giveUp('server-refused');
-		}
+		this._retryOr('server-refused');
 	}
 
 	/** The attempt may have run and gives no usable answer. */
@@ -250,7 +229,16 @@
 		this._mayHaveRun = true;
 		attempt.record.health.record(true, attempt.sentAt, this._services.clock.now());
 		this._leave(attempt, reason);
-		if (this._mayRepeat && this._takeRetry()) {
+		if (this._isRepeatable) {
+			this._retryOr(reason);
+		} else {
+			this._giveUp(reason);
+		}
+	}
+
+	/** Asks another backend server, or ends the request. */
+	private _retryOr(reason: string): void {
+		if (this._takeRetry()) {
 			this._attempt();
 		} else {
 			this._giveUp(reason);
--- a/src/common/forwarding/load-aware-cascade.test.ts
+++ b/src/common/forwarding/load-aware-cascade.test.ts
@@ -38,6 +38,27 @@
 		pending.push({at: freeAt, run: done});
 	};
 
+	const arrive = () => {
+		const start = now;
+		serve('small', () => {
+			policy.observe(context(start), 'small', now - start);
+			const larger = policy.escalate(context(start), 'small', random.next() * 100);
+			const sentAt = now;
+			const finish = () => {
+				onTime += now - start <= targetMs ? 1 : 0;
+			};
+
+			if (larger) {
+				serve('large', () => {
+					policy.observe(context(start), 'large', now - sentAt);
+					finish();
+				});
+			} else {
+				finish();
+			}
+		});
+	};
+
 	let arrived = 0;
 	let nextAt = 0;
 	while (arrived < count || pending.length > 0) {
@@ -46,24 +67,7 @@
 			now = nextAt;
 			arrived++;
 			nextAt += -Math.log(1 - random.next()) * 1000 / perSecond;
-			const start = now;
-			serve('small', () => {
-				policy.observe(context(start), 'small', now - start);
-				const larger = policy.escalate(context(start), 'small', random.next() * 100);
-				const sentAt = now;
-				const finish = () => {
-					onTime += now - start <= targetMs ? 1 : 0;
-				};
-
-				if (larger) {
-					serve('large', () => {
-						policy.observe(context(start), 'large', now - sentAt);
-						finish();
-					});
-				} else {
-					finish();
-				}
-			});
+			arrive();
 			continue;
 		}
 
--- /dev/null
+++ b/src/common/release/release-supervisor.test.ts
@@ -0,0 +1,127 @@
+import {expect, it} from 'vitest';
+import {LocalLog} from '../../testing/local-log.js';
+import {ManualClock} from '../../testing/manual-clock.js';
+import {nullLogger} from '../base/null-logger.js';
+import {type BackendServer} from '../control/backend-server.js';
+import {type ControlCommand} from '../control/control-command.js';
+import {type ControlLeadership} from '../control/control-leadership.js';
+import {type ControlResult} from '../control/control-result.js';
+import {ControlState} from '../control/control-state.js';
+import {type ReleaseCounts} from './release-evidence.js';
+import {ReleaseSupervisor} from './release-supervisor.js';
+
+const durationMs = 20_000;
+/** Answers of all hosts together in one second. */
+const answersPerSecond = 100;
+
+function backend(release: string): BackendServer {
+	return {
+		id: release, incarnation: 1, address: `${release}:1`, zone: 'z', kind: 'plain', offers: [], services: ['s'], checksFencing: false, checksSender: false, capacity: 4, release,
+	};
+}
+
+type Faults = (elapsedMs: number, share: number) => {readonly failureShare: number; readonly latencyMs: number};
+
+/** Plays a roll-out with the outcomes of a new release. @returns the final state and the share of all answers that it gave. */
+async function play(faults: Faults, leaderChangeAt?: number): Promise<{state: string; exposure: number; endedAt: number}> {
+	const clock = new ManualClock();
+	const state = new ControlState();
+	const log = new LocalLog<ControlCommand, ControlResult>('a', state);
+	const create = () => new ReleaseSupervisor({
+		log, state, clock, logger: nullLogger, leadership: {period: {}} as unknown as ControlLeadership,
+	});
+	let supervisor = create();
+	for (const release of ['old', 'new']) {
+		await log.propose({type: 'backend-joined', server: backend(release), at: 0}); // eslint-disable-line no-await-in-loop -- one after another
+	}
+
+	await log.propose({
+		type: 'start-service-rollout', service: 's', target: 'new', durationMs, at: clock.wallTime(),
+	});
+	const sums = {
+		old: {
+			answers: 0, failures: 0, logLatency: 0, logLatencySquares: 0,
+		}, new: {
+			answers: 0, failures: 0, logLatency: 0, logLatencySquares: 0,
+		},
+	};
+	const add = (release: 'old' | 'new', answers: number, failureShare: number, latencyMs: number) => {
+		const sum = sums[release];
+		sum.answers += answers;
+		sum.failures += Math.round(answers * failureShare);
+		sum.logLatency += answers * Math.log(latencyMs);
+		sum.logLatencySquares += answers * (Math.log(latencyMs) ** 2);
+	};
+
+	let endedAt = durationMs;
+	for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 1000) {
+		const rollout = state.serviceRollouts.get('s')!;
+		if (rollout.state !== 'in-progress') {
+			endedAt = Math.min(endedAt, elapsedMs);
+			break;
+		}
+
+		if (elapsedMs === leaderChangeAt) {
+			supervisor.dispose();
+			supervisor = create();
+		}
+
+		const fresh = answersPerSecond * rollout.share;
+		const {failureShare, latencyMs} = faults(elapsedMs, rollout.share);
+		add('new', fresh, failureShare, latencyMs);
+		add('old', answersPerSecond - fresh, 0, 100);
+		const counts: ReleaseCounts[] = (['old', 'new'] as const).map(release => ({
+			service: 's', release, server: release, route: 'r', ...sums[release],
+		}));
+		supervisor.receive({host: 'e', incarnation: 1}, counts);
+		await clock.advance(1000); // eslint-disable-line no-await-in-loop -- time passes
+	}
+
+	supervisor.dispose();
+	return {
+		state: state.serviceRollouts.get('s')!.state, exposure: sums.new.answers / (sums.new.answers + sums.old.answers), endedAt,
+	};
+}
+
+/** Share of the requests that a bad release may get, by the users' bound. */
+const exposureBound = 0.15;
+
+// Guards against a bad release that stays, gets too many requests, or is completed, and a good one that is not completed.
+it.each<{name: string; faults: Faults; state: string; leaderChangeAt?: number}>([
+	{name: 'a good release', faults: () => ({failureShare: 0, latencyMs: 100}), state: 'completed'},
+	{
+		name: 'a good release over a change of the leader', faults: () => ({failureShare: 0, latencyMs: 100}), state: 'completed', leaderChangeAt: 8000,
+	},
+	{name: 'failing answers', faults: () => ({failureShare: 0.5, latencyMs: 100}), state: 'reverted'},
+	{name: 'slow answers', faults: () => ({failureShare: 0, latencyMs: 800}), state: 'reverted'},
+	{name: 'answers that fail later', faults: elapsedMs => ({failureShare: elapsedMs > 5000 ? 0.5 : 0, latencyMs: 100}), state: 'reverted'},
+	{name: 'answers that fail under load only', faults: (_, share) => ({failureShare: share > 0.2 ? 0.5 : 0, latencyMs: 100}), state: 'reverted'},
+	{
+		name: 'failing answers over a change of the leader', faults: elapsedMs => ({failureShare: elapsedMs > 8000 ? 0.5 : 0, latencyMs: 100}), state: 'reverted', leaderChangeAt: 8000,
+	},
+])('ends $name as $state', async ({faults, state, leaderChangeAt}) => {
+	const result = await play(faults, leaderChangeAt);
+	expect(result.state).toBe(state);
+	expect(result.endedAt).toBeLessThanOrEqual(durationMs);
+	if (state === 'reverted') {
+		expect(result.exposure).toBeLessThanOrEqual(exposureBound);
+	}
+});
+
+// Guards against a release that is completed without an answer that proves it.
+it('reverts a release that nothing proves in time', async () => {
+	const {state} = await play(() => ({failureShare: 0, latencyMs: 100}));
+	expect(state).toBe('completed');
+	const clock = new ManualClock();
+	const control = new ControlState();
+	const log = new LocalLog<ControlCommand, ControlResult>('a', control);
+	const supervisor = new ReleaseSupervisor({
+		log, state: control, clock, logger: nullLogger, leadership: {period: {}} as unknown as ControlLeadership,
+	});
+	await log.propose({
+		type: 'start-service-rollout', service: 's', target: 'new', durationMs, at: clock.wallTime(),
+	});
+	await clock.advance(durationMs);
+	expect(control.serviceRollouts.get('s')!.state).toBe('reverted');
+	supervisor.dispose();
+});
