--- a/src/common/forwarding/forward-request.ts
+++ b/src/common/forwarding/forward-request.ts
@@ -89,6 +89,4 @@
 	readonly isUnframed: boolean;
 	/** Time in seconds after which the backend server wants to be asked again. */
 	readonly retryAfterSeconds: number | undefined;
-	/** Version of the software or weights, where the head tells. */
-	readonly weights: string | undefined;
 }
--- a/src/common/forwarding/server-pool.ts
+++ b/src/common/forwarding/server-pool.ts
@@ -6,8 +6,6 @@
 	readonly health = new BackendHealth();
 	/** Requests of this host in progress. */
 	inFlight = 0;
-	/** Tokens that the requests in progress may still take. */
-	tokensInFlight = 0;
 	/** Time until which the backend server said to be full. */
 	fullUntil = 0;
 
@@ -59,10 +57,4 @@
 	ready(service: string): ServerRecord[] {
 		return (this._byService.get(service) ?? []).filter(({server}) => !server.isDraining);
 	}
-
-	/** Whether the directory still lists the process as taking new work. */
-	isReady({key}: ServerRecord): boolean {
-		const record = this._records.get(key);
-		return record !== undefined && !record.server.isDraining;
-	}
 }
--- a/src/common/host/forward-host.ts
+++ b/src/common/host/forward-host.ts
@@ -65,7 +65,10 @@
 		} = _options;
 		this._voters = new KnownVoters(seeds);
 		this.follower = this._store.add(new ControlFollower({..._options, voters: () => this._voters.hosts, sections: []}));
-		this._recorder = new ReleaseRecorder(service => this.follower.view.serviceRollouts.get(service)?.state === serviceRolloutState.inProgress);
+		this._recorder = new ReleaseRecorder(service => {
+			const rollout = this.follower.view.serviceRollouts.get(service);
+			return rollout?.state === serviceRolloutState.inProgress ? rollout.revision : undefined;
+		});
 		this._store.add(this.follower.addSection(this._voters));
 		this._store.add(this.follower.addSection(this._recorder));
 		const sessions = new SessionHolds(clock, _options.sessionMs, () => [...this.follower.view.serviceRollouts.values()].some(({state, holdsSessions}) => state === serviceRolloutState.inProgress && holdsSessions));
--- a/src/common/release/release-recorder.ts
+++ b/src/common/release/release-recorder.ts
@@ -9,14 +9,20 @@
 	readonly section = releaseSection;
 	private readonly _rows = new Map<string, Row>();
 
-	constructor(private readonly _isRolledOut: (service: string) => boolean) {}
+	private readonly _revisions = new Map<string, number>();
+
+	/** `rolloutOf` gives the revision of the order of the roll-out that a service is under; undefined when it is under none. */
+	constructor(private readonly _rolloutOf: (service: string) => number | undefined) {}
 
 	observe({service, route, record, isFailed, latencyMs}: ReleaseOutcome): void {
 		const {id, incarnation, release} = record.server;
-		if (release === undefined || !this._isRolledOut(service)) {
+		const revision = this._rolloutOf(service);
+		if (release === undefined || revision === undefined) {
 			return;
 		}
 
+		this._startOver(service, revision);
+
 		const key = `${id}#${incarnation}#${route}`;
 		let row = this._rows.get(key);
 		if (!row) {
@@ -33,21 +39,26 @@
 		row.logLatencySquares += logLatency ** 2;
 	}
 
-	/** Forgets the counts of a service, before its next roll-out. */
-	reset(service: string): void {
-		for (const [key, row] of this._rows) {
-			if (row.service === service) {
-				this._rows.delete(key);
-			}
-		}
-	}
-
 	collect(): readonly ReleaseCounts[] | undefined {
-		const rows = [...this._rows.values()].filter(({service}) => this._isRolledOut(service));
+		const rows = [...this._rows.values()].filter(({service}) => this._rolloutOf(service) !== undefined);
 		return rows.length > 0 ? rows.map(row => ({...row})) : undefined;
 	}
 
 	acknowledge(): void {
 		// The counts are cumulative; the next renewal sends them again.
 	}
+
+	/** Forgets the counts of an earlier roll-out of the service. */
+	private _startOver(service: string, revision: number): void {
+		if (this._revisions.get(service) === revision) {
+			return;
+		}
+
+		this._revisions.set(service, revision);
+		for (const [key, row] of this._rows) {
+			if (row.service === service) {
+				this._rows.delete(key);
+			}
+		}
+	}
 }
