--- a/src/common/host/forward-host.ts
+++ b/src/common/host/forward-host.ts
@@ -15,7 +15,7 @@
 import {type BackendPort} from '../forwarding/backend-port.js';
 import {Forwarder} from '../forwarding/forwarder.js';
 import {type ForwardState} from '../forwarding/forward-services.js';
-import {type ModelPolicy} from '../forwarding/model-policy.js';
+import {LoadAwareCascade} from '../forwarding/load-aware-cascade.js';
 import {AffinityPlacement} from '../forwarding/placement.js';
 import {RouteTable} from '../forwarding/route-table.js';
 import {type RoutingConfig} from '../forwarding/routing-config.js';
@@ -23,6 +23,15 @@
 import {ReleaseRecorder} from '../release/release-recorder.js';
 import {SessionHolds} from '../release/session-holds.js';
 
+/** Least confidence of a small model's answer that is accepted; measured side by side in docs/platform-measurements.md. */
+const acceptedConfidence = 55;
+/** Factor by which the largest model must be faster than the time that is left, so that few of its answers are late. */
+const latencyMargin = 2;
+/** Part of the allowed retries that hosts use; the rest covers hosts that start with a full budget. */
+const budgetSafety = 0.85;
+/** Retries that one host saves up at most: few, because the hosts do not ask each other. */
+const savedRetries = 4;
+
 /** What a forwarding host is built from. */
 export interface ForwardHostOptions {
 	readonly entry: Omit<EntryHost, 'leaving'>;
@@ -34,15 +43,12 @@
 	readonly counters: Counters;
 	readonly logger: Logger;
 	readonly port: BackendPort;
-	readonly models: ModelPolicy;
 	/** Reads a routing configuration that was checked when it was submitted. */
 	readonly parseRouting: (source: string) => RoutingConfig;
-	/** Share of the requests of a service that may be sent again. */
+	/** Share of the requests of a service that all hosts together may send again. */
 	readonly retryShare: number;
 	/** Time in milliseconds after a request for which its session counts as running. */
 	readonly sessionMs: number;
-	/** Retries that one host may save up. */
-	readonly savedRetries: number;
 }
 
 /** An entry host that forwards requests by the routing configuration: control follower, forwarder and what they share. */
@@ -61,7 +67,7 @@
 
 	constructor(private readonly _options: ForwardHostOptions) {
 		const {
-			entry, seeds, clock, random, counters, logger, port, models,
+			entry, seeds, clock, random, counters, logger, port,
 		} = _options;
 		this._voters = new KnownVoters(seeds);
 		this.follower = this._store.add(new ControlFollower({..._options, voters: () => this._voters.hosts, sections: []}));
@@ -92,7 +98,7 @@
 			pool: this._pool,
 			port,
 			placement: new AffinityPlacement(random.fork('placement')),
-			models,
+			models: new LoadAwareCascade(acceptedConfidence, latencyMargin),
 			observer: this._recorder,
 			sessions,
 			budget: service => this._budget(service),
@@ -131,7 +137,7 @@
 	private _budget(service: string): RetryBudget {
 		let budget = this._budgets.get(service);
 		if (!budget) {
-			budget = new RetryBudget(this._options.retryShare, this._options.savedRetries);
+			budget = new RetryBudget(this._options.retryShare * budgetSafety, savedRetries);
 			this._budgets.set(service, budget);
 		}
 
