Let requests wait for an expected lease, and follow a leader hint at once

Hosts that had started refused 287 requests with a time to come back that lay after their first lease; the lease itself came 0.3 to 0.4 s after the new leader, because each redirected renewal waited for the whole back-off. Ruled out: the start of the entry program (0.1 s after the power); the placement after the start. What was waited counts against the deadline and the limit of the route. LeaderLink asks the leader that a voter names after 10 ms, once in a row.

--- a/src/common/control/leader-link.test.ts
+++ b/src/common/control/leader-link.test.ts
@@ -38,3 +38,24 @@
 	await expect(link.attempt(method, {}, 100)).resolves.toBe(leader);
 	expect(link.failures).toBe(0);
 });
+
+// Guards against a new leader that is found late because each voter that names it costs a long pause, and against a busy loop while voters name each other.
+it('asks a leader that a voter names without a long pause, but only once in a row', async () => {
+	const leaders: Record<string, string> = {a: 'b', b: 'c', c: 'a'};
+	const transport: PeerTransport = {
+		self: 'entry',
+		async call(peer: string) {
+			throw new PeerCallError('not the leader', 'not-leader', {leader: leaders[peer]});
+		},
+		handle: () => ({dispose: () => undefined}),
+	};
+	const link = new LeaderLink(transport, () => ['a', 'b', 'c'], new ManualClock(), new SeededRandom(1));
+	const pauses: number[] = [];
+	for (let attempt = 0; attempt < 6; attempt++) {
+		await link.attempt(method, {}, 100).catch(() => undefined); // eslint-disable-line no-await-in-loop, promise/prefer-await-to-then -- attempts follow each other
+		pauses.push(link.backoffMs);
+	}
+
+	expect(pauses[0]).toBe(10);
+	expect(pauses[5]).toBeGreaterThanOrEqual(100);
+});
--- a/src/common/control/leader-link.ts
+++ b/src/common/control/leader-link.ts
@@ -16,6 +16,8 @@
 	/** Leader that a voter named; it may have become a voter after the list was made. */
 	private _hint: string | undefined;
 	private _failures = 0;
+	/** Hints followed in a row; more than one means that the voters do not agree yet. */
+	private _redirects = 0;
 
 	constructor(
 		private readonly _transport: PeerTransport,
@@ -30,8 +32,12 @@
 		return this._failures;
 	}
 
-	/** Time in milliseconds to wait before the next attempt; 0 after a success. */
+	/** Time in milliseconds to wait before the next attempt; 0 after a success, and short after a first hint. */
 	get backoffMs(): number {
+		if (this._redirects === 1) {
+			return firstBackoffMs;
+		}
+
 		const longest = Math.min(maxBackoffMs, firstBackoffMs * (2 ** Math.min(this._failures, 10)));
 		return this._failures === 0 ? 0 : longest * (0.5 + (this._random.next() / 2));
 	}
@@ -43,6 +49,7 @@
 			const result = await this._transport.call(target, method, params, timeoutMs);
 			if (this._target === target) {
 				this._failures = 0;
+				this._redirects = 0;
 			}
 
 			return result;
@@ -112,6 +119,7 @@
 		if (hint === undefined) {
 			this._rotate(target);
 		} else {
+			this._redirects++;
 			this._hint = hint;
 			this._target = hint;
 		}
@@ -119,6 +127,7 @@
 
 	private _rotate(target: string): void {
 		const voters = this._voters();
+		this._redirects = 0;
 		this._hint = undefined;
 		this._target = voters[(voters.indexOf(target) + 1) % voters.length];
 	}
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -43,8 +43,8 @@
 		private readonly _sink: CallerSink,
 		private readonly _onOver: () => void,
 	) {
-		const {req, route} = _admitted;
-		this._startedAt = _services.clock.now();
+		const {req, route, arrivedAt} = _admitted;
+		this._startedAt = arrivedAt;
 		this._deadlineAt = this._startedAt + Math.min(req.deadlineMs ?? Infinity, route.timeoutMs);
 		this._isRepeatable = mayRepeat(route);
 		this._relay = new AnswerRelay(_sink, route.repetition === repetition.stream, req.resumeAfter);
--- a/src/common/forwarding/forwarder.ts
+++ b/src/common/forwarding/forwarder.ts
@@ -1,5 +1,6 @@
 import {type ForwardRequest} from './forward-request.js';
 import {ForwardRun} from './forward-run.js';
+import {LeaseQueue} from './lease-queue.js';
 import {type ForwardServices} from './forward-services.js';
 import {type CallerSink, type Refusal} from './caller-sink.js';
 import {type Customer, type Route} from './routing-config.js';
@@ -19,30 +20,58 @@
 	/** Service that gets the request. */
 	readonly service: string;
 	readonly configVersion: number;
+	/** Arrival on the host's monotonic clock in milliseconds. */
+	readonly arrivedAt: number;
 }
 
 /** Checks requests against the configuration and forwards those that it allows. */
 export class Forwarder {
 	private _active = 0;
 	private readonly _startedAt: number;
+	private readonly _queue: LeaseQueue;
 
 	constructor(private readonly _services: ForwardServices) {
 		this._startedAt = _services.clock.now();
+		this._queue = new LeaseQueue(_services.clock, ({req, sink, arrivedAt}) => {
+			this._forward(req, sink, arrivedAt);
+		});
 	}
 
-	/** Requests in progress. */
+	/** Requests in progress, those that wait for a lease included. */
 	get active(): number {
-		return this._active;
+		return this._active + this._queue.size;
 	}
 
-	/** Answers a request. */
+	/** Answers a request; it may wait a short time for the lease. */
 	forward(req: ForwardRequest, sink: CallerSink): void {
-		const admitted = this._admit(req);
+		if (this._canAdmit || !this._queue.offer(req, sink)) {
+			this._forward(req, sink, this._services.clock.now());
+		} else {
+			const {counters, logger, lease, clock} = this._services;
+			counters.increment('forward.waited');
+			logger.info({req: req.id, waiting: this._queue.size, leaseLeftMs: Math.round(lease.expiresAt - clock.now())}, 'request waits for the lease');
+		}
+	}
+
+	/** Forwards the requests that wait; called when a lease or a configuration has come. */
+	open(): void {
+		if (this._canAdmit) {
+			this._queue.open();
+		}
+	}
+
+	/** Whether this host has a configuration and the right to use it. */
+	private get _canAdmit(): boolean {
+		return this._services.state().table !== undefined && this._services.lease.isValid();
+	}
+
+	private _forward(req: ForwardRequest, sink: CallerSink, arrivedAt: number): void {
+		const admitted = this._admit(req, arrivedAt);
 		if ('status' in admitted) {
 			const {lease, clock, counters, logger} = this._services;
 			counters.increment('forward.refused', 1, {code: admitted.code});
 			logger.info({
-				req: req.id, status: admitted.status, code: admitted.code, config: this._services.state().table?.cfg.version, leaseLeftMs: Math.round(lease.expiresAt - clock.now()),
+				req: req.id, status: admitted.status, code: admitted.code, config: this._services.state().table?.cfg.version, leaseLeftMs: Math.round(lease.expiresAt - clock.now()), waitedMs: Math.round(clock.now() - arrivedAt),
 			}, 'request refused');
 			sink.refuse(admitted);
 			return;
@@ -62,7 +91,7 @@
 		return Math.max(leaseRetrySeconds, untilFirst) + (random() * leaseRetrySpreadSeconds);
 	}
 
-	private _admit(req: ForwardRequest): AdmittedRequest | Refusal {
+	private _admit(req: ForwardRequest, arrivedAt: number): AdmittedRequest | Refusal {
 		const {lease, state, random} = this._services;
 		const {table} = state();
 		if (!table || !lease.isValid()) {
@@ -82,7 +111,7 @@
 		}
 
 		return {
-			req, route, customer, service: pickService(route, random()), configVersion: table.cfg.version,
+			req, route, customer, service: pickService(route, random()), configVersion: table.cfg.version, arrivedAt,
 		};
 	}
 }
--- a/src/common/host/forward-host.ts
+++ b/src/common/host/forward-host.ts
@@ -84,6 +84,7 @@
 		}));
 		this._store.add(this.follower.onLeaseGained(() => {
 			logger.info({revision: this.follower.applied}, 'lease gained');
+			this.forwarder.open();
 		}));
 		this._store.add(this.follower.onLeaseLost(() => {
 			logger.warn({revision: this.follower.applied}, 'lease lost, requests are refused');
@@ -163,6 +164,7 @@
 
 			logger.info({version: routing.version, revision: routing.revision, routes: this._table.cfg.routes.length}, 'routing configuration applied');
 			this._onRouting.fire(this._table.cfg);
+			this.forwarder.open();
 		}
 	}
 }
