Keep the kind of an error of a peer call

The JSON-RPC client turns an error of its transport into a response with the text only, so that a time-out and a missing connection looked like a refusal of the peer, after which LeaderLink keeps its target. Ruled out: the election (0.8 s); the size of the fleet (the fault is in every deployment with a silent leader). Change: the transport notes its own error beside the call and throws it instead. Measured: three cases of http-peer-transport.test.ts failed before, pass now, and so does a search for another peer.

--- a/src/node/http-peer-transport.ts
+++ b/src/node/http-peer-transport.ts
@@ -10,7 +10,7 @@
 	handlerFailedCode, peerErrorData, type PeerErrorData, peerHeader, peerPath,
 } from './peer-rpc.js';
 
-type CallTarget = {readonly peer: string; readonly timeoutMs: number};
+type CallTarget = {readonly peer: string; readonly timeoutMs: number; failure?: AppError};
 
 /** A connection attempt that takes longer counts as failed; well below an election timeout. */
 const connectTimeoutMs = 500;
@@ -37,7 +37,13 @@
 	*/
 	constructor(readonly self: string, private readonly _addressOf: (peer: string) => string | undefined, private readonly _secret: string | undefined) {
 		this._client = new JSONRPCClient<CallTarget>(async (payload, target) => {
-			this._client.receive(await this._post(payload, target));
+			try {
+				this._client.receive(await this._post(payload, target));
+			} catch (error) {
+				// The client of JSON-RPC keeps only the text of an error.
+				target.failure = error instanceof AppError ? error : undefined;
+				throw error;
+			}
 		});
 		this._server.mapErrorToJSONRPCErrorResponse = (id, error: unknown) => ({
 			jsonrpc: '2.0',
@@ -52,11 +58,12 @@
 	}
 
 	async call<Params, Result>(peer: string, method: PeerMethod<Params, Result>, params: Params, timeoutMs: number): Promise<Result> {
+		const target: CallTarget = {peer, timeoutMs};
 		try {
-			return await this._client.request(method.name, [params], {peer, timeoutMs}) as Result;
+			return await this._client.request(method.name, [params], target) as Result;
 		} catch (error) {
-			if (error instanceof AppError) {
-				throw error;
+			if (target.failure) {
+				throw target.failure;
 			}
 
 			const {data, message} = error as {data?: PeerErrorData; message: string};
