List an entry host with its first renewal

Cause: after a loss of power of the grown Pulso site the leader led 0.55 s after its start, the median entry host had the configuration 0.33 s later, but its lease only 0.95 s after that, the last one 1.8 s after the leader: each host called three times (renewal, join, renewal), and each join woke the held renewals of all. Ruled out: the size of the configuration (applied by half of the hosts within 0.33 s). Change: a renewal without a lease describes its host, and the leader lists it before it answers. Joins and expiries are collected for 100 ms before held renewals are answered.

--- a/src/common/control/control-follower.ts
+++ b/src/common/control/control-follower.ts
@@ -188,7 +188,7 @@
 		let reply: RenewReply;
 		try {
 			reply = await this.link.attempt(renewMethod, {
-				host: this._options.entry.host, incarnation: this._incarnation, applied, holdMs: isFinding ? 0 : renewHoldMs, parts: partsOf(sent),
+				host: this._options.entry.host, incarnation: this._incarnation, applied, entry: this.lease.isValid() ? undefined : this.entry, holdMs: isFinding ? 0 : renewHoldMs, parts: partsOf(sent),
 			}, isFinding ? findTimeoutMs : renewTimeoutMs);
 		} catch {
 			counters.increment('control.renewal-failures');
--- a/src/common/control/control-service.ts
+++ b/src/common/control/control-service.ts
@@ -40,6 +40,11 @@
 /** Commands that only the leader itself proposes. */
 const leaderCommands = new Set<ControlCommand['type']>(['entry-expired', 'backend-expired', 'next-fencing', 'rollout-step', 'burn-sums', 'service-rollout-step', 'backend-silent']);
 
+/** Commands that entry hosts may learn a little later; waking all of them for each would cost the square of their number when they all join. */
+const unhurriedCommands = new Set<ControlCommand['type'] | undefined>(['entry-joined', 'entry-expired', 'burn-sums']);
+/** Time in milliseconds for which unhurried commands are collected before the held renewals are answered. */
+const collectMs = 100;
+
 /** Leader side of configuration, directory and leases. Runs on every voter and acts while that voter leads. */
 export class ControlService implements Disposable {
 	readonly leadership: ControlLeadership;
@@ -48,6 +53,7 @@
 	private readonly _leases = new LeaseTable();
 	private readonly _waiters: Waiters;
 	private readonly _catchUp: ControlCatchUp;
+	private _wakeTimer: Disposable | undefined;
 
 	constructor(private readonly _options: ControlServiceOptions) {
 		const {log, state, transport, clock, logger} = _options;
@@ -62,9 +68,18 @@
 		this._store.add(this.leadership.onEnd(() => {
 			this._waiters.wake();
 		}));
-		this._store.add(log.onApplied(() => {
-			this._waiters.wake();
+		this._store.add(log.onApplied(({command}) => {
+			if (unhurriedCommands.has(command?.type)) {
+				this._wakeLater();
+			} else {
+				this._waiters.wake();
+			}
 		}));
+		this._store.add({
+			dispose: () => {
+				this._wakeTimer?.dispose();
+			},
+		});
 		this._store.add(new EntryExpirer({
 			log, state, clock, logger, leadership: this.leadership, leases: this._leases,
 		}));
@@ -121,6 +136,7 @@
 		const {term} = this.leadership.require();
 		const {log, clock, counters} = this._options;
 		counters.increment('control.renewals');
+		await this._list(req);
 		if (!this._refusal(req)) {
 			this._leases.renewed(req, req.applied, clock.now());
 			this._sections.receive(req, req.parts);
@@ -133,6 +149,23 @@
 		return this._reply(req, term);
 	}
 
+	private _wakeLater(): void {
+		this._wakeTimer ??= this._options.clock.setTimer(collectMs, () => {
+			this._wakeTimer = undefined;
+			this._waiters.wake();
+		});
+	}
+
+	/** Lists a daemon that the directory does not know, so that it gets its lease with this renewal. */
+	private async _list(req: RenewRequest): Promise<void> {
+		const {log, logger} = this._options;
+		const {entry} = req;
+		if (entry?.host === req.host && entry.incarnation === req.incarnation && this._refusal(req)?.code === 'not-joined') {
+			const {status} = await log.propose({type: 'entry-joined', entry});
+			logger.info({host: entry.host, incarnation: entry.incarnation, outcome: status}, 'entry host joined');
+		}
+	}
+
 	/** Builds the reply in one go, so that the lease, the commit index and the entries belong to the same moment. */
 	private _reply(req: RenewRequest, term: number): RenewReply {
 		const period = this.leadership.require();
