Keep only what speaks the platform's formats of the soak in its folder

Cause: proxy, processes, plan and checker know nothing of the platform. Change: moved to src/soak; settings come as text. Ruled out: none. Measured: soak tests pass. Conclusion: kept.

--- a/src/layers.test.ts
+++ b/src/layers.test.ts
@@ -15,6 +15,7 @@
 	quickstart: ['common', 'node', 'emulator', 'daemon', 'cli'],
 	experiment: ['common', 'node', 'emulator', 'testing'],
 	faults: ['common', 'node', 'emulator', 'testing', 'daemon'],
+	soak: ['common'],
 };
 
 /** Order of the folders of `common`: a folder imports only from folders before it. */
--- a/platform/soak/soak-plan.ts
+++ b/src/soak/soak-plan.ts
@@ -1,4 +1,4 @@
-import {type RandomSource} from '../../src/common/base/random-source.js';
+import {type RandomSource} from '../common/base/random-source.js';
 
 /** What is done to a part of the system. */
 export const soakAction = {
--- a/platform/soak/soak-process.ts
+++ b/src/soak/soak-process.ts
@@ -4,7 +4,6 @@
 } from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
-import {settingsVariable} from '../settings.js';
 
 /** Time in milliseconds from the first signal to stop until the second one. */
 const secondSignalMs = 300;
@@ -19,7 +18,10 @@
 	readonly program: string;
 	/** Folder for settings, data and logs. */
 	readonly folder: string;
-	readonly settings: Record<string, unknown>;
+	/** Name of the environment variable with the path of the settings file. */
+	readonly settingsVariable: string;
+	/** Content of the settings file for a start; `isFirst` tells whether the process has not run before. */
+	readonly settings: (isFirst: boolean, dataDir: string) => string;
 }
 
 /** One program of the system as a process of its own, controlled by signals only. */
@@ -43,12 +45,13 @@
 			return;
 		}
 
-		const {role, name, program, folder, settings} = this._options;
+		const {
+			role, name, program, folder, settings, settingsVariable,
+		} = this._options;
 		const file = path.join(folder, `${name}.json`);
-		// A group is created once; a host that comes back with an empty disk joins the one that exists.
-		writeFileSync(file, JSON.stringify({...settings, Bootstrap: this._starts++ === 0, DataDir: this._dataDir}));
+		writeFileSync(file, settings(this._starts++ === 0, this._dataDir));
 		const child = spawn(process.execPath, ['--max-old-space-size=200', program, role], {
-			env: {PATH: process.env.PATH, [settingsVariable]: file}, stdio: ['ignore', 'pipe', 'pipe'],
+			env: Object.fromEntries([['PATH', process.env.PATH], [settingsVariable, file]]), stdio: ['ignore', 'pipe', 'pipe'],
 		});
 		const log = createWriteStream(path.join(folder, `${name}.log`), {flags: 'a'});
 		child.stdout.pipe(log);
