Bound the time for which a renewal waits until its host is listed

Ruled out: answering without any wait; then a host is listed for callers 50 ms before it has its lease, which the rolling restart of src/faults/scenarios.test.ts shows. Change: the reply waits at most 200 ms; later the next renewal brings the lease. A host is listed once at a time. The follower no longer joins by itself; a new incarnation is logged.

--- a/src/common/control/control-follower.ts
+++ b/src/common/control/control-follower.ts
@@ -200,8 +200,8 @@
 		}
 
 		if (reply.refusal) {
-			const hasJoined = await this._join(reply.refusal);
-			return clock.now() + (hasJoined ? 0 : minRenewIntervalMs);
+			this._onRefusal(reply.refusal);
+			return clock.now() + minRenewIntervalMs;
 		}
 
 		this._sections.acknowledge(reply.term, sent, reply.parts);
@@ -220,29 +220,21 @@
 		return intervalMs;
 	}
 
-	private async _join({code, incarnation}: RenewRefusal): Promise<boolean> {
+	/** The leader lists this daemon by the next renewals; only an incarnation that has ended needs another one. */
+	private _onRefusal({code, incarnation}: RenewRefusal): void {
 		const {clock, logger, entry: {host}} = this._options;
 		this._replica.lease.end();
 		if (code === 'superseded' && this._hadLease) {
 			logger.error({host, incarnation}, 'another process runs under the name of this entry host');
 			this._stop.abort();
 			this._onSuperseded.fire();
-			return false;
-		}
-
-		if (code !== 'not-joined') {
+		} else if (code !== 'not-joined') {
 			// After a step back of the wall clock the start time may be below a known incarnation.
 			this._incarnation = Math.max(Math.floor(clock.wallTime()), incarnation + 1);
+			logger.info({
+				host, incarnation: this._incarnation, earlier: incarnation, code,
+			}, 'new incarnation');
 			this._onIncarnation.fire(this._incarnation);
 		}
-
-		try {
-			await this.propose({type: 'entry-joined', entry: this.entry});
-			logger.info({host, incarnation: this._incarnation}, 'joined the directory');
-			return true;
-		} catch (error) {
-			logger.warn({host, err: error}, 'could not join the directory');
-			return false;
-		}
 	}
 }
--- a/src/common/control/control-service.test.ts
+++ b/src/common/control/control-service.test.ts
@@ -70,6 +70,6 @@
 	expect(await cluster.clock.advanceUntil(() => names.every(name => cluster.daemon(name).follower.lease.isValid()), 2000)).toBe(true);
 	await cluster.clock.advance(Math.max(0, startedAt + 1000 - cluster.clock.now()));
 	expect(cluster.daemon('v1').follower.view.entryHosts.size).toBe(count + 3);
-	// Two to find the leader, one that lists the host, one that confirms, and the renewal of a second.
+	// Two to find the leader, one that lists the host, one that brings the lease, and the renewal of a second.
 	expect(calls.length / count).toBeLessThanOrEqual(5);
 });
--- a/src/common/control/control-service.ts
+++ b/src/common/control/control-service.ts
@@ -4,6 +4,7 @@
 import {type Disposable} from '../base/disposable.js';
 import {type Logger} from '../base/logger.js';
 import {type PeerTransport} from '../base/peer-transport.js';
+import {sleep} from '../base/sleep.js';
 import {type ReplicatedLog} from '../consensus/replicated-log.js';
 import {checkDocument} from '../documents/parse-document.js';
 import {ControlCatchUp} from './control-catch-up.js';
@@ -42,6 +43,8 @@
 
 /** Commands that entry hosts may learn a little later; waking all of them for each would cost the square of their number when they all join. */
 const unhurriedCommands = new Set<ControlCommand['type'] | undefined>(['entry-joined', 'entry-expired', 'burn-sums']);
+/** Longest time in milliseconds for which a reply waits until its daemon is listed; well below the time-out of a daemon that looks for the leader. */
+const listWaitMs = 200;
 /** Time in milliseconds for which unhurried commands are collected before the held renewals are answered. */
 const collectMs = 100;
 
@@ -53,6 +56,8 @@
 	private readonly _leases = new LeaseTable();
 	private readonly _waiters: Waiters;
 	private readonly _catchUp: ControlCatchUp;
+	/** Daemons that are being listed, with their incarnations. */
+	private readonly _joining = new Set<string>();
 	private _wakeTimer: Disposable | undefined;
 
 	constructor(private readonly _options: ControlServiceOptions) {
@@ -136,7 +141,10 @@
 		const {term} = this.leadership.require();
 		const {log, clock, counters} = this._options;
 		counters.increment('control.renewals');
-		await this._list(req);
+		if (this._refusal(req)?.code === 'not-joined') {
+			await Promise.race([this._list(req), sleep(clock, listWaitMs)]);
+		}
+
 		if (!this._refusal(req)) {
 			this._leases.renewed(req, req.applied, clock.now());
 			this._sections.receive(req, req.parts);
@@ -156,13 +164,22 @@
 		});
 	}
 
-	/** Lists a daemon that the directory does not know, so that it gets its lease with this renewal. */
-	private async _list(req: RenewRequest): Promise<void> {
+	/** Lists a daemon that the directory does not know. When that takes long, the next renewal brings the lease. */
+	private async _list({host, incarnation, entry}: RenewRequest): Promise<void> {
 		const {log, logger} = this._options;
-		const {entry} = req;
-		if (entry?.host === req.host && entry.incarnation === req.incarnation && this._refusal(req)?.code === 'not-joined') {
+		const key = `${host}#${incarnation}`;
+		if (entry?.host !== host || entry.incarnation !== incarnation || this._joining.has(key)) {
+			return;
+		}
+
+		this._joining.add(key);
+		try {
 			const {status} = await log.propose({type: 'entry-joined', entry});
-			logger.info({host: entry.host, incarnation: entry.incarnation, outcome: status}, 'entry host joined');
+			logger.info({host, incarnation, outcome: status}, 'entry host joined');
+		} catch (error) {
+			logger.warn({host, incarnation, err: error}, 'entry host could not be listed, its next renewal tries again');
+		} finally {
+			this._joining.delete(key);
 		}
 	}
 
@@ -184,7 +201,7 @@
 		};
 	}
 
-	private _refusal({host, incarnation}: RenewRequest): RenewRefusal | undefined {
+	private _refusal({host, incarnation}: RenewalSender): RenewRefusal | undefined {
 		const {state} = this._options;
 		const current = state.entryHosts.get(host)?.incarnation;
 		if (current === incarnation) {
