Take the listing of hosts with their first renewal back

Not found: why renewals at the new leader failed; a failed renewal leaves a counter but no line. Conclusion: reverted; to be traced from the replies that hosts get while a leader changes.

--- a/src/common/control/control-follower.ts
+++ b/src/common/control/control-follower.ts
@@ -188,7 +188,7 @@
 		let reply: RenewReply;
 		try {
 			reply = await this.link.attempt(renewMethod, {
-				host: this._options.entry.host, incarnation: this._incarnation, applied, entry: this.lease.isValid() ? undefined : this.entry, holdMs: isFinding ? 0 : renewHoldMs, parts: partsOf(sent),
+				host: this._options.entry.host, incarnation: this._incarnation, applied, holdMs: isFinding ? 0 : renewHoldMs, parts: partsOf(sent),
 			}, isFinding ? findTimeoutMs : renewTimeoutMs);
 		} catch {
 			counters.increment('control.renewal-failures');
@@ -200,8 +200,8 @@
 		}
 
 		if (reply.refusal) {
-			this._onRefusal(reply.refusal);
-			return clock.now() + minRenewIntervalMs;
+			const hasJoined = await this._join(reply.refusal);
+			return clock.now() + (hasJoined ? 0 : minRenewIntervalMs);
 		}
 
 		this._sections.acknowledge(reply.term, sent, reply.parts);
@@ -220,21 +220,29 @@
 		return intervalMs;
 	}
 
-	/** The leader lists this daemon by the next renewals; only an incarnation that has ended needs another one. */
-	private _onRefusal({code, incarnation}: RenewRefusal): void {
+	private async _join({code, incarnation}: RenewRefusal): Promise<boolean> {
 		const {clock, logger, entry: {host}} = this._options;
 		this._replica.lease.end();
 		if (code === 'superseded' && this._hadLease) {
 			logger.error({host, incarnation}, 'another process runs under the name of this entry host');
 			this._stop.abort();
 			this._onSuperseded.fire();
-		} else if (code !== 'not-joined') {
+			return false;
+		}
+
+		if (code !== 'not-joined') {
 			// After a step back of the wall clock the start time may be below a known incarnation.
 			this._incarnation = Math.max(Math.floor(clock.wallTime()), incarnation + 1);
-			logger.info({
-				host, incarnation: this._incarnation, earlier: incarnation, code,
-			}, 'new incarnation');
 			this._onIncarnation.fire(this._incarnation);
 		}
+
+		try {
+			await this.propose({type: 'entry-joined', entry: this.entry});
+			logger.info({host, incarnation: this._incarnation}, 'joined the directory');
+			return true;
+		} catch (error) {
+			logger.warn({host, err: error}, 'could not join the directory');
+			return false;
+		}
 	}
 }
--- a/src/common/control/control-service.ts
+++ b/src/common/control/control-service.ts
@@ -4,7 +4,6 @@
 import {type Disposable} from '../base/disposable.js';
 import {type Logger} from '../base/logger.js';
 import {type PeerTransport} from '../base/peer-transport.js';
-import {sleep} from '../base/sleep.js';
 import {type ReplicatedLog} from '../consensus/replicated-log.js';
 import {checkDocument} from '../documents/parse-document.js';
 import {ControlCatchUp} from './control-catch-up.js';
@@ -41,13 +40,6 @@
 /** Commands that only the leader itself proposes. */
 const leaderCommands = new Set<ControlCommand['type']>(['entry-expired', 'backend-expired', 'next-fencing', 'rollout-step', 'burn-sums', 'service-rollout-step', 'backend-silent']);
 
-/** Commands that entry hosts may learn a little later; waking all of them for each would cost the square of their number when they all join. */
-const unhurriedCommands = new Set<ControlCommand['type'] | undefined>(['entry-joined', 'entry-expired', 'burn-sums']);
-/** Longest time in milliseconds for which a reply waits until its daemon is listed; well below the time-out of a daemon that looks for the leader. */
-const listWaitMs = 200;
-/** Time in milliseconds for which unhurried commands are collected before the held renewals are answered. */
-const collectMs = 100;
-
 /** Leader side of configuration, directory and leases. Runs on every voter and acts while that voter leads. */
 export class ControlService implements Disposable {
 	readonly leadership: ControlLeadership;
@@ -56,9 +48,6 @@
 	private readonly _leases = new LeaseTable();
 	private readonly _waiters: Waiters;
 	private readonly _catchUp: ControlCatchUp;
-	/** Daemons that are being listed, with their incarnations. */
-	private readonly _joining = new Set<string>();
-	private _wakeTimer: Disposable | undefined;
 
 	constructor(private readonly _options: ControlServiceOptions) {
 		const {log, state, transport, clock, logger} = _options;
@@ -73,18 +62,9 @@
 		this._store.add(this.leadership.onEnd(() => {
 			this._waiters.wake();
 		}));
-		this._store.add(log.onApplied(({command}) => {
-			if (unhurriedCommands.has(command?.type)) {
-				this._wakeLater();
-			} else {
-				this._waiters.wake();
-			}
+		this._store.add(log.onApplied(() => {
+			this._waiters.wake();
 		}));
-		this._store.add({
-			dispose: () => {
-				this._wakeTimer?.dispose();
-			},
-		});
 		this._store.add(new EntryExpirer({
 			log, state, clock, logger, leadership: this.leadership, leases: this._leases,
 		}));
@@ -141,10 +121,6 @@
 		const {term} = this.leadership.require();
 		const {log, clock, counters} = this._options;
 		counters.increment('control.renewals');
-		if (this._refusal(req)?.code === 'not-joined') {
-			await Promise.race([this._list(req), sleep(clock, listWaitMs)]);
-		}
-
 		if (!this._refusal(req)) {
 			this._leases.renewed(req, req.applied, clock.now());
 			this._sections.receive(req, req.parts);
@@ -157,32 +133,6 @@
 		return this._reply(req, term);
 	}
 
-	private _wakeLater(): void {
-		this._wakeTimer ??= this._options.clock.setTimer(collectMs, () => {
-			this._wakeTimer = undefined;
-			this._waiters.wake();
-		});
-	}
-
-	/** Lists a daemon that the directory does not know. When that takes long, the next renewal brings the lease. */
-	private async _list({host, incarnation, entry}: RenewRequest): Promise<void> {
-		const {log, logger} = this._options;
-		const key = `${host}#${incarnation}`;
-		if (entry?.host !== host || entry.incarnation !== incarnation || this._joining.has(key)) {
-			return;
-		}
-
-		this._joining.add(key);
-		try {
-			const {status} = await log.propose({type: 'entry-joined', entry});
-			logger.info({host, incarnation, outcome: status}, 'entry host joined');
-		} catch (error) {
-			logger.warn({host, incarnation, err: error}, 'entry host could not be listed, its next renewal tries again');
-		} finally {
-			this._joining.delete(key);
-		}
-	}
-
 	/** Builds the reply in one go, so that the lease, the commit index and the entries belong to the same moment. */
 	private _reply(req: RenewRequest, term: number): RenewReply {
 		const period = this.leadership.require();
@@ -201,7 +151,7 @@
 		};
 	}
 
-	private _refusal({host, incarnation}: RenewalSender): RenewRefusal | undefined {
+	private _refusal({host, incarnation}: RenewRequest): RenewRefusal | undefined {
 		const {state} = this._options;
 		const current = state.entryHosts.get(host)?.incarnation;
 		if (current === incarnation) {
--- a/src/common/control/renew-message.ts
+++ b/src/common/control/renew-message.ts
@@ -1,6 +1,5 @@
 import {type AppliedEntry} from '../consensus/applied-entry.js';
 import {type ControlCommand} from './control-command.js';
-import {type EntryHost} from './entry-host.js';
 
 /** Renewal of a daemon. */
 export interface RenewRequest {
@@ -10,8 +9,6 @@
 	readonly applied: number;
 	/** Time in milliseconds for which the leader may hold the reply. */
 	readonly holdMs: number;
-	/** Description of the daemon while it has no lease; the leader lists it where the directory does not. */
-	readonly entry?: EntryHost;
 	/** Parts by the name of their section. */
 	readonly parts: Readonly<Record<string, unknown>>;
 }
