Log why an entry host gets no renewal

Change: the first of failures in a row and each tenth after it is a line with the error, the age of the state and the rest of the lease.

--- a/src/common/control/control-follower.ts
+++ b/src/common/control/control-follower.ts
@@ -40,6 +40,9 @@
 /** Time-out in milliseconds of a renewal that looks for the leader and is not held. */
 const findTimeoutMs = 500;
 
+/** Of renewals that fail in a row, each of this many is logged. */
+const loggedFailures = 10;
+
 /** Keeps the control state and the lease of this daemon up to date with the leader. */
 export class ControlFollower implements Disposable {
 	readonly link: LeaderLink;
@@ -52,6 +55,8 @@
 	private _isLeaving = false;
 	private _hadLease = false;
 	private _confirmMs = minRenewIntervalMs;
+	/** Renewals that failed in a row. */
+	private _failures = 0;
 
 	constructor(private readonly _options: ControlFollowerOptions) {
 		const {transport, voters, clock, random, entry, logger} = _options;
@@ -171,7 +176,7 @@
 				nextAt = await this._renew(sentAt);
 			} catch (error) {
 				// A listener has failed; the renewals must go on.
-				logger.error({err: error}, 'renewal failed');
+				logger.error({err: error}, 'a listener of a renewal has failed');
 			}
 
 			// eslint-disable-next-line no-await-in-loop -- waits for the next renewal
@@ -190,8 +195,9 @@
 			reply = await this.link.attempt(renewMethod, {
 				host: this._options.entry.host, incarnation: this._incarnation, applied, holdMs: isFinding ? 0 : renewHoldMs, parts: partsOf(sent),
 			}, isFinding ? findTimeoutMs : renewTimeoutMs);
-		} catch {
+		} catch (error) {
 			counters.increment('control.renewal-failures');
+			this._noteFailure(error);
 			return clock.now() + Math.max(minRenewIntervalMs, this.link.backoffMs);
 		}
 
@@ -204,6 +210,7 @@
 			return clock.now() + (hasJoined ? 0 : minRenewIntervalMs);
 		}
 
+		this._failures = 0;
 		this._sections.acknowledge(reply.term, sent, reply.parts);
 		return sentAt + this._nextIntervalMs(this.applied > applied);
 	}
@@ -220,6 +227,17 @@
 		return intervalMs;
 	}
 
+	/** Logs the first of failures in a row and then some of them: a lost leader makes many. */
+	private _noteFailure(error: unknown): void {
+		if (this._failures % loggedFailures === 0) {
+			this._options.logger.warn({
+				failures: this._failures + 1, applied: this.applied, leaseLeftMs: Math.round(this.lease.expiresAt - this._options.clock.now()), err: error,
+			}, 'renewal failed');
+		}
+
+		this._failures++;
+	}
+
 	private async _join({code, incarnation}: RenewRefusal): Promise<boolean> {
 		const {clock, logger, entry: {host}} = this._options;
 		this._replica.lease.end();
