Do not expire hosts that have just joined, and be patient with a busy leader

Change: a join counts as a sign of life. The time-outs of calls to a host that let a call run out are doubled, up to four times, for 10 s.

--- a/src/common/control/control-follower.ts
+++ b/src/common/control/control-follower.ts
@@ -37,7 +37,7 @@
 
 /** Longest time in milliseconds for which a proposal is repeated: the bound for a change to be in force everywhere. */
 const proposeDeadlineMs = 11_000;
-/** Time-out in milliseconds of a renewal that looks for the leader and is not held. */
+/** First time-out in milliseconds of a renewal that looks for the leader and is not held. */
 const findTimeoutMs = 500;
 
 /** Of renewals that fail in a row, each of this many is logged. */
@@ -194,7 +194,7 @@
 		try {
 			reply = await this.link.attempt(renewMethod, {
 				host: this._options.entry.host, incarnation: this._incarnation, applied, holdMs: isFinding ? 0 : renewHoldMs, parts: partsOf(sent),
-			}, isFinding ? findTimeoutMs : renewTimeoutMs);
+			}, (isFinding ? findTimeoutMs : renewTimeoutMs) * this.link.timeoutFactor);
 		} catch (error) {
 			counters.increment('control.renewal-failures');
 			this._noteFailure(error);
--- a/src/common/control/control-service.test.ts
+++ b/src/common/control/control-service.test.ts
@@ -47,3 +47,17 @@
 	await cluster.clock.advance(600);
 	expect([...cluster.daemons.values()].map(daemon => daemon.follower.view.documents.size)).toEqual([1, 1, 1, 1, 1]);
 });
+
+// Guards against hosts that never get a lease from a busy leader, because each repeated renewal gives up before its reply comes.
+it('gives leases to all hosts while the leader answers slowly', async () => {
+	const cluster = await ControlCluster.start();
+	cluster.network.faults.minDelayMs = 350;
+	cluster.network.faults.maxDelayMs = 350;
+	const names = Array.from({length: 12}, (_, index) => `e${index}`);
+	for (const name of names) {
+		cluster.add(name);
+	}
+
+	await cluster.clock.advance(15_000);
+	expect(names.filter(name => !cluster.daemon(name).follower.lease.isValid())).toEqual([]);
+});
--- a/src/common/control/control-service.ts
+++ b/src/common/control/control-service.ts
@@ -62,7 +62,12 @@
 		this._store.add(this.leadership.onEnd(() => {
 			this._waiters.wake();
 		}));
-		this._store.add(log.onApplied(() => {
+		this._store.add(log.onApplied(({command}) => {
+			if (command?.type === 'entry-joined') {
+				// A host that has just joined renews only after it has heard so; without a sign of life it would expire at once.
+				this._leases.renewed(command.entry, 0, clock.now());
+			}
+
 			this._waiters.wake();
 		}));
 		this._store.add(new EntryExpirer({
--- a/src/common/control/leader-link.ts
+++ b/src/common/control/leader-link.ts
@@ -9,6 +9,10 @@
 /** Longest back-off in milliseconds: a new leader is to be found well within a lease. */
 const maxBackoffMs = 200;
 const firstBackoffMs = 10;
+/** Greatest factor on the time-out of calls to a host that has let calls run out. */
+const maxTimeoutFactor = 4;
+/** Time in milliseconds for which a host counts as slow after a call has run out. */
+const slowMs = 10_000;
 
 /** Calls to the leader among the voters. Follows hints of other voters and rotates when a voter does not answer. */
 export class LeaderLink {
@@ -18,6 +22,8 @@
 	private _failures = 0;
 	/** Hints followed in a row; more than one means that the voters do not agree yet. */
 	private _redirects = 0;
+	/** Factors on the time-outs of hosts whose last calls ran out; repeated calls with a short time-out would keep a busy leader busy. */
+	private readonly _slow = new Map<string, {readonly factor: number; readonly until: number}>();
 
 	constructor(
 		private readonly _transport: PeerTransport,
@@ -32,6 +38,11 @@
 		return this._failures;
 	}
 
+	/** Factor on the time-out of the next call: 1, and more when earlier calls to that host ran out. */
+	get timeoutFactor(): number {
+		return this._target === undefined ? 1 : this._factorOf(this._target);
+	}
+
 	/** Time in milliseconds to wait before the next attempt; 0 after a success, and short after a first hint. */
 	get backoffMs(): number {
 		if (this._redirects === 1) {
@@ -87,6 +98,11 @@
 		}
 	}
 
+	private _factorOf(target: string): number {
+		const slow = this._slow.get(target);
+		return slow && this._clock.now() < slow.until ? slow.factor : 1;
+	}
+
 	private _pick(): string {
 		const voters = this._voters();
 		if (this._target === undefined || (this._target !== this._hint && !voters.includes(this._target))) {
@@ -98,6 +114,10 @@
 	}
 
 	private _noteFailure(target: string, error: unknown): void {
+		if (error instanceof PeerTimeoutError) {
+			this._slow.set(target, {factor: Math.min(maxTimeoutFactor, 2 * this._factorOf(target)), until: this._clock.now() + slowMs});
+		}
+
 		if (!isRetryable(error) || this._target !== target) {
 			return;
 		}
