--- a/src/soak/soak-checker.ts
+++ b/src/soak/soak-checker.ts
@@ -91,7 +91,7 @@
 		}
 	}
 
-	/** An engine began to work on a request. `isOnOpenLink` tells whether it could have been told in time that the engine drains. */
+	/** An engine began to work on a request. `isUndisturbed` tells whether entry hosts could have heard in time that the engine drains. */
 	ran(server: string, id: string, at: number, isUndisturbed: boolean): void {
 		this.counts.runs++;
 		const runs = (this._runs.get(id) ?? 0) + 1;
