--- a/src/common/evidence/sequential-test.ts
+++ b/src/common/evidence/sequential-test.ts
@@ -1,3 +1,5 @@
+import {logLikelihoodRatio} from './log-likelihood-ratio.js';
+
 /**
 Sequential probability ratio test for a rise of a failure rate at an unknown time (Shiryaev-Roberts form).
 
@@ -19,7 +21,7 @@
 	add(failures: number, successes: number, healthy: number, badRates: readonly number[]): void {
 		const before = this._logs;
 		this._logs = badRates.map((bad, index) => {
-			const ratio = (failures * Math.log(bad / healthy)) + (successes * Math.log((1 - bad) / (1 - healthy)));
+			const ratio = logLikelihoodRatio(failures, successes, bad, healthy);
 			return (before ? logSum([0, before[index]!]) : 0) + ratio;
 		});
 	}
--- a/src/common/evidence/wald-sample.ts
+++ b/src/common/evidence/wald-sample.ts
@@ -1,3 +1,5 @@
+import {logLikelihoodRatio} from './log-likelihood-ratio.js';
+
 /** Rates between which a sequential test decides, and its error rates. */
 export interface WaldRates {
 	/** Failure rate of a healthy version. */
@@ -12,7 +14,7 @@
 
 /** Kullback-Leibler divergence between two failure rates, in nats for each answer. */
 export function divergence(bad: number, healthy: number): number {
-	return (bad * Math.log(bad / healthy)) + ((1 - bad) * Math.log((1 - bad) / (1 - healthy)));
+	return logLikelihoodRatio(bad, 1 - bad, bad, healthy);
 }
 
 /** Wald's expected number of answers until the test decides on a bad version. */
--- a/src/common/release/release-evidence.ts
+++ b/src/common/release/release-evidence.ts
@@ -1,10 +1,9 @@
 import {renewalSection} from '../control/renewal-section.js';
 
-/** Outcomes of requests of one route at one backend server since the start of a process of an entry host. */
+/** Outcomes of requests of one route at one release since the order of the roll-out, as one process of an entry host saw them. */
 export interface ReleaseCounts {
 	readonly service: string;
 	readonly release: string;
-	readonly server: string;
 	readonly route: string;
 	readonly answers: number;
 	/** Answers that the backend server itself failed. */
--- a/src/common/release/release-recorder.ts
+++ b/src/common/release/release-recorder.ts
@@ -8,14 +8,13 @@
 export class ReleaseRecorder implements ReleaseObserver, FollowerSection<readonly ReleaseCounts[], never> {
 	readonly section = releaseSection;
 	private readonly _rows = new Map<string, Row>();
-
 	private readonly _revisions = new Map<string, number>();
 
 	/** `rolloutOf` gives the revision of the order of the roll-out that a service is under; undefined when it is under none. */
 	constructor(private readonly _rolloutOf: (service: string) => number | undefined) {}
 
 	observe({service, route, record, isFailed, latencyMs}: ReleaseOutcome): void {
-		const {id, incarnation, release} = record.server;
+		const {release} = record.server;
 		const revision = this._rolloutOf(service);
 		if (release === undefined || revision === undefined) {
 			return;
@@ -23,11 +22,11 @@
 
 		this._startOver(service, revision);
 
-		const key = `${id}#${incarnation}#${route}`;
+		const key = `${service}/${release}/${route}`;
 		let row = this._rows.get(key);
 		if (!row) {
 			row = {
-				service, release, server: `${id}#${incarnation}`, route, answers: 0, failures: 0, logLatency: 0, logLatencySquares: 0,
+				service, release, route, answers: 0, failures: 0, logLatency: 0, logLatencySquares: 0,
 			};
 			this._rows.set(key, row);
 		}
--- a/src/common/release/release-supervisor.test.ts
+++ b/src/common/release/release-supervisor.test.ts
@@ -71,7 +71,7 @@
 		add('new', fresh, failureShare, latencyMs);
 		add('old', answersPerSecond - fresh, 0, 100);
 		const counts: ReleaseCounts[] = (['old', 'new'] as const).map(release => ({
-			service: 's', release, server: release, route: 'r', ...sums[release],
+			service: 's', release, route: 'r', ...sums[release],
 		}));
 		supervisor.receive({host: 'e', incarnation: 1}, counts);
 		await clock.advance(1000); // eslint-disable-line no-await-in-loop -- time passes
--- a/src/common/release/release-supervisor.ts
+++ b/src/common/release/release-supervisor.ts
@@ -46,7 +46,7 @@
 /** Moves roll-outs of releases forward at the leader, on the evidence of all entry hosts, and reverts bad ones. */
 export class ReleaseSupervisor implements LeaderSection<readonly ReleaseCounts[], never>, Disposable {
 	readonly section = releaseSection;
-	private readonly _rows = new Map<string, {readonly sender: string; readonly counts: ReleaseCounts}>();
+	private readonly _rows = new Map<string, ReleaseCounts>();
 	private readonly _sweep: PeriodicSweep;
 	private _isProposing = false;
 
@@ -61,16 +61,13 @@
 	}
 
 	receive({host, incarnation}: RenewalSender, part: readonly ReleaseCounts[]): void {
-		const sender = `${host}#${incarnation}`;
 		for (const counts of part) {
-			const key = `${sender}/${counts.server}/${counts.route}`;
+			const key = `${host}#${incarnation}/${counts.service}/${counts.release}/${counts.route}`;
 			const known = this._rows.get(key);
-			if (!known || known.counts.answers <= counts.answers) {
-				this._rows.set(key, {sender, counts});
+			if (!known || known.answers <= counts.answers) {
+				this._rows.set(key, counts);
 			}
 		}
-
-		this._check();
 	}
 
 	reply(): undefined {
@@ -97,7 +94,7 @@
 	private _advance(rollout: ServiceRollout): void {
 		const {clock, state} = this._options;
 		const {service, target, startedAt, durationMs, share} = rollout;
-		const rows = [...this._rows.values()].map(({counts}) => counts).filter(counts => counts.service === service);
+		const rows = [...this._rows.values()].filter(counts => counts.service === service);
 		const {verdict, reason, answers, failures} = judgeRelease(target, rows);
 		const evidence = `${reason}; ${failures} of ${answers} failed`;
 		const elapsedMs = clock.wallTime() - startedAt;
--- a/src/common/release/release-verdict.test.ts
+++ b/src/common/release/release-verdict.test.ts
@@ -17,7 +17,7 @@
 	}
 
 	return {
-		service: 's', release, server: release, route, answers, failures, logLatency, logLatencySquares,
+		service: 's', release, route, answers, failures, logLatency, logLatencySquares,
 	};
 }
 
--- a/src/common/release/release-verdict.ts
+++ b/src/common/release/release-verdict.ts
@@ -1,3 +1,4 @@
+import {logLikelihoodRatio} from '../evidence/log-likelihood-ratio.js';
 import {type ReleaseCounts} from './release-evidence.js';
 
 /** What the evidence says of a release against the one before. */
@@ -76,7 +77,7 @@
 function testFailures(one: Sum, base: Sum): ReleaseVerdict {
 	const baseShare = Math.min(0.6, Math.max(leastBaseShare, (base.failures + 0.5) / (base.answers + 1)));
 	const badShare = Math.min(0.95, baseShare + badRise);
-	const ratio = (one.failures * Math.log(badShare / baseShare)) + ((one.answers - one.failures) * Math.log((1 - badShare) / (1 - baseShare)));
+	const ratio = logLikelihoodRatio(one.failures, one.answers - one.failures, badShare, baseShare);
 	if (ratio >= Math.log((1 - misses) / falseAlarms)) {
 		return releaseVerdict.bad;
 	}
