Choose a server in one pass over the candidates

Cause: each request sorted all servers of its service and hashed its key once for each of them, to take the first one below the limit; the fallback to a server above it could not be reached, because the mean lies below the limit. Change: one pass; the key is hashed once. The name of a process of a backend server is made in one place. Measured (84 servers, development machine): 27.0 to 9.3 us a choice; 3,000 choices are the same before and after.

--- a/src/common/control/backend-heartbeats.ts
+++ b/src/common/control/backend-heartbeats.ts
@@ -2,7 +2,7 @@
 import {type Disposable} from '../base/disposable.js';
 import {type Logger} from '../base/logger.js';
 import {type ReplicatedLog} from '../consensus/replicated-log.js';
-import {type BackendServer} from './backend-server.js';
+import {backendKey, type BackendServer} from './backend-server.js';
 import {type ControlCommand} from './control-command.js';
 import {type ControlLeadership} from './control-leadership.js';
 import {type ControlResult} from './control-result.js';
@@ -37,8 +37,8 @@
 	}
 
 	/** Notes a heartbeat that reached this host. */
-	heard({id, incarnation}: Pick<BackendServer, 'id' | 'incarnation'>): void {
-		this._heardAt.set(`${id}#${incarnation}`, this._options.clock.now());
+	heard(server: Pick<BackendServer, 'id' | 'incarnation'>): void {
+		this._heardAt.set(backendKey(server), this._options.clock.now());
 	}
 
 	dispose(): void {
@@ -55,7 +55,7 @@
 		const now = clock.now();
 		const since = Math.max(period.since, stalledAt);
 		const servers = [...state.backendServers.values()];
-		const keys = new Set(servers.map(({id, incarnation}) => `${id}#${incarnation}`));
+		const keys = new Set(servers.map(server => backendKey(server)));
 		for (const key of this._heardAt.keys()) {
 			if (!keys.has(key)) {
 				this._heardAt.delete(key);
@@ -63,7 +63,7 @@
 		}
 
 		for (const server of servers) {
-			const heardAt = Math.max(since, this._heardAt.get(`${server.id}#${server.incarnation}`) ?? since);
+			const heardAt = Math.max(since, this._heardAt.get(backendKey(server)) ?? since);
 			if (now - heardAt >= silentAfterMs) {
 				void this._propose(server, now - heardAt);
 			}
--- a/src/common/control/backend-server.ts
+++ b/src/common/control/backend-server.ts
@@ -14,6 +14,11 @@
 	readonly outputCost: number;
 }
 
+/** Name of one process of a backend server. */
+export function backendKey({id, incarnation}: Pick<BackendServer, 'id' | 'incarnation'>): string {
+	return `${id}#${incarnation}`;
+}
+
 /** One process of a backend server as it announced itself. */
 export interface BackendServer {
 	readonly id: string;
--- a/src/common/forwarding/placement.ts
+++ b/src/common/forwarding/placement.ts
@@ -18,6 +18,8 @@
 
 /** Requests by which a server may be ahead of the mean of this host before the next one in order is taken. */
 const aheadRequests = 2;
+/** Hashes are below this. */
+const hashRange = 2 ** 32;
 /** Factor on the mean number of requests in progress up to which a server keeps the requests that share a part. */
 const aheadFactor = 1.5;
 
@@ -38,10 +40,20 @@
 
 		const mean = usable.reduce((sum, {inFlight}) => sum + inFlight, 0) / usable.length;
 		const limit = Math.max(mean * aheadFactor, mean + aheadRequests);
-		const ranked = usable
-			.map(record => ({record, isNear: record.server.zone === zone, rank: hashString(record.server.id, hashString(affinityKey))}))
-			.sort((one, other) => Number(other.isNear) - Number(one.isNear) || other.rank - one.rank);
-		return (ranked.find(({record}) => record.inFlight <= limit) ?? ranked[0])?.record;
+		const seed = hashString(affinityKey);
+		let best: ServerRecord | undefined;
+		let bestRank = -1;
+		for (const record of usable) {
+			const {server, inFlight} = record;
+			const rank = hashString(server.id, seed) + (server.zone === zone ? hashRange : 0);
+			// The mean is below the limit, so that there always is a server below it.
+			if (inFlight <= limit && rank > bestRank) {
+				best = record;
+				bestRank = rank;
+			}
+		}
+
+		return best;
 	}
 }
 
--- a/src/common/forwarding/server-pool.ts
+++ b/src/common/forwarding/server-pool.ts
@@ -1,4 +1,4 @@
-import {type BackendServer} from '../control/backend-server.js';
+import {backendKey, type BackendServer} from '../control/backend-server.js';
 import {BackendHealth} from '../routing/backend-health.js';
 
 /** What this host knows of one process of a backend server from its own requests. */
@@ -12,7 +12,7 @@
 	constructor(public server: BackendServer) {}
 
 	get key(): string {
-		return `${this.server.id}#${this.server.incarnation}`;
+		return backendKey(this.server);
 	}
 }
 
@@ -26,7 +26,7 @@
 		this._byService.clear();
 		const seen = new Set<string>();
 		for (const server of servers) {
-			const key = `${server.id}#${server.incarnation}`;
+			const key = backendKey(server);
 			seen.add(key);
 			let record = this._records.get(key);
 			if (record) {
