Note the join of a host where the leader takes it, and draw election times in one place

Cause: the sign of life of a join was noted at each applied entry on each voter, also on those that do not lead and never prune it. The random election times were drawn by four copies of one expression. Change: the leader notes the join when it takes the command; CoreState has one draw, in the same order as before. Ruled out: a host that is expired before its first renewal (control-service.test.ts still passes). Measured: all tests of src/common, faults and the platform pass.

--- a/src/common/consensus/core-state.ts
+++ b/src/common/consensus/core-state.ts
@@ -71,7 +71,7 @@
 		this.resetElectionTimer();
 		if (options.startedAt !== undefined) {
 			// A leader that lives is heard within a heartbeat; after a loss of all members nobody must wait for one. Half an interval is enough: the pre-vote fails while a leader lives.
-			this.electionDeadline = Math.max(now, this.heardLeaderAt + electionTimeoutMinMs) + (heartbeatIntervalMs / 2) + Math.floor(this._random.next() * restartSpreadMs);
+			this.electionDeadline = Math.max(now, this.heardLeaderAt + electionTimeoutMinMs) + this._spread(heartbeatIntervalMs / 2, restartSpreadMs);
 		}
 
 		this.follow(undefined);
@@ -100,19 +100,18 @@
 	}
 
 	resetElectionTimer(): void {
-		const spread = electionTimeoutMaxMs - electionTimeoutMinMs;
-		this.electionDeadline = this.now + electionTimeoutMinMs + Math.floor(this._random.next() * spread);
+		this.electionDeadline = this.now + this._spread(electionTimeoutMinMs, electionTimeoutMaxMs - electionTimeoutMinMs);
 	}
 
 	/** Sets the time at which a candidacy that has just begun is repeated. */
 	awaitVotes(): void {
 		const {least, most} = candidacyRetryMs;
-		this.electionDeadline = this.now + least + Math.floor(this._random.next() * (most - least));
+		this.electionDeadline = this.now + this._spread(least, most - least);
 	}
 
 	/** Holds an own candidacy back for the one of another member. */
 	yieldCandidacy(): void {
-		this.electionDeadline = Math.max(this.electionDeadline, this.now + candidacyYieldMs + Math.floor(this._random.next() * restartSpreadMs));
+		this.electionDeadline = Math.max(this.electionDeadline, this.now + this._spread(candidacyYieldMs, restartSpreadMs));
 	}
 
 	/** Takes the role of a follower, or of a learner without a vote. */
@@ -211,6 +210,11 @@
 		}
 	}
 
+	/** Random time in milliseconds from a least one on. */
+	private _spread(leastMs: number, rangeMs: number): number {
+		return leastMs + Math.floor(this._random.next() * rangeMs);
+	}
+
 	private _restoreLog({snapshot, base, entries, groupId}: StoredState): void {
 		if (snapshot ?? groupId) {
 			this.log.reset(base.index, base.term, snapshot?.members ?? []);
--- a/src/common/control/control-service.ts
+++ b/src/common/control/control-service.ts
@@ -62,12 +62,7 @@
 		this._store.add(this.leadership.onEnd(() => {
 			this._waiters.wake();
 		}));
-		this._store.add(log.onApplied(({command}) => {
-			if (command?.type === 'entry-joined') {
-				// A host that has just joined renews only after it has heard so; without a sign of life it would expire at once.
-				this._leases.renewed(command.entry, 0, clock.now());
-			}
-
+		this._store.add(log.onApplied(() => {
 			this._waiters.wake();
 		}));
 		this._store.add(new EntryExpirer({
@@ -188,6 +183,11 @@
 		}
 
 		const {log, clock} = this._options;
+		if (command.type === 'entry-joined') {
+			// The host renews only after it has heard of its join; without a sign of life it would expire at once.
+			this._leases.renewed(command.entry, 0, clock.now());
+		}
+
 		if (command.type === 'submit-document') {
 			return log.propose({...command, document: checkDocument(command.document)});
 		}
