--- a/src/soak/soak-checker.test.ts
+++ b/src/soak/soak-checker.test.ts
@@ -5,7 +5,7 @@
 
 function outcome(changes: Partial<CallerOutcome> = {}): CallerOutcome {
 	return {
-		id: 'q', isRepeatable: false, key: 'k', sentAt: 1000, endedAt: 1100, status: 200, body: bodyOf('q', false), isSigned: true, isStream: false, isAtPlannedStop: false, isAfterFaults: true, ...changes,
+		id: 'q', isRepeatable: false, status: 200, body: bodyOf('q', false), isSigned: true, isStream: false, isAtPlannedStop: false, isAfterFaults: true, ...changes,
 	};
 }
 
--- a/src/soak/soak-checker.ts
+++ b/src/soak/soak-checker.ts
@@ -36,9 +36,6 @@
 export interface CallerOutcome {
 	readonly id: string;
 	readonly isRepeatable: boolean;
-	readonly key: string;
-	readonly sentAt: number;
-	readonly endedAt: number;
 	/** Undefined when the connection ended without a complete answer. */
 	readonly status: number | undefined;
 	readonly body: string;
@@ -78,7 +75,6 @@
 	private readonly _removedAt = new Map<string, number>();
 	private readonly _known = new Set<string>();
 	private readonly _drainedAt = new Map<string, number>();
-	private _acked: {version: number; at: number} | undefined;
 	private readonly _acks: Array<{version: number; at: number}> = [];
 	private readonly _late = {asked: 0, served: 0};
 
@@ -138,10 +134,6 @@
 	acknowledged(version: number, removed: readonly string[], at: number): void {
 		this.counts.changes++;
 		this._acks.push({version, at});
-		if (version > (this._acked?.version ?? 0)) {
-			this._acked = {version, at};
-		}
-
 		for (const key of removed) {
 			this._removedAt.set(key, Math.min(at, this._removedAt.get(key) ?? at));
 		}
@@ -149,7 +141,7 @@
 
 	/** A configuration was read back. */
 	read(version: number, sentAt: number): void {
-		const due = Math.max(0, ...this._acks.filter(({at}) => at + applyMs < sentAt).map(({version: acked}) => acked));
+		const due = this._newestAck(sentAt - applyMs);
 		this._expect(promise.configurationKept, version >= due, `version ${version} was read, ${due} is in force`);
 	}
 
@@ -161,11 +153,17 @@
 
 	/** Judges what can only be told at the end. `version` was read back last; undefined when nothing could be read. */
 	finish(version: number | undefined): void {
-		this._expect(promise.configurationKept, version !== undefined && version >= (this._acked?.version ?? 0), `version ${version ?? 'none'} was read at the end, ${this._acked?.version ?? 0} was acknowledged`);
+		const due = this._newestAck(Infinity);
+		this._expect(promise.configurationKept, version !== undefined && version >= due, `version ${version ?? 'none'} was read at the end, ${due} was acknowledged`);
 		const {asked, served} = this._late;
 		this._expect(promise.recovers, asked > 0 && served >= asked * servedShare, `${served} of ${asked} requests were served after the faults`);
 	}
 
+	/** Highest version that was acknowledged before a time; 0 when there was none. */
+	private _newestAck(before: number): number {
+		return Math.max(0, ...this._acks.filter(({at}) => at < before).map(({version}) => version));
+	}
+
 	private _expect(name: SoakPromise, holds: boolean, text: string): void {
 		if (!holds) {
 			this.violations.push(`${name}: ${text}`);
--- a/src/soak/soak-process.ts
+++ b/src/soak/soak-process.ts
@@ -4,6 +4,7 @@
 } from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
+import {type Clock} from '../common/base/clock.js';
 
 /** Time in milliseconds from the first signal to stop until the second one. */
 const secondSignalMs = 300;
@@ -12,6 +13,7 @@
 
 /** What a process of the soak is started with. */
 export interface ProcessOptions {
+	readonly clock: Clock;
 	readonly role: 'control' | 'entry';
 	readonly name: string;
 	/** Path of the built program. */
@@ -32,10 +34,6 @@
 
 	constructor(private readonly _options: ProcessOptions) {}
 
-	get name(): string {
-		return this._options.name;
-	}
-
 	get isRunning(): boolean {
 		return this._child !== undefined && !this._isPaused;
 	}
@@ -92,19 +90,21 @@
 			return;
 		}
 
+		const {clock} = this._options;
+		const again = clock.setTimer(secondSignalMs, () => {
+			child.kill('SIGTERM');
+		});
+		const end = clock.setTimer(graceMs, () => {
+			child.kill('SIGKILL');
+		});
 		await new Promise<void>(resolve => {
-			const timer = setTimeout(() => {
-				child.kill('SIGKILL');
-			}, graceMs);
 			child.once('exit', () => {
-				clearTimeout(timer);
 				resolve();
 			});
 			child.kill('SIGTERM');
-			setTimeout(() => {
-				child.kill('SIGTERM');
-			}, secondSignalMs);
 		});
+		again.dispose();
+		end.dispose();
 	}
 
 	/** Kills the process and loses its disk. */
--- a/src/soak/tcp-proxy.ts
+++ b/src/soak/tcp-proxy.ts
@@ -1,6 +1,7 @@
 import {
 	connect, createServer, type Server, type Socket,
 } from 'node:net';
+import {type Clock} from '../common/base/clock.js';
 
 /** What a proxy does with its connections. */
 export const linkState = {
@@ -27,7 +28,7 @@
 	private readonly _sockets = new Set<Socket>();
 	private _state: LinkState = linkState.open;
 
-	constructor(private readonly _listen: {host: string; port: number}, private readonly _target: {host: string; port: number}) {
+	constructor(private readonly _listen: {host: string; port: number}, private readonly _target: {host: string; port: number}, private readonly _clock: Clock) {
 		this._server = createServer({allowHalfOpen: true}, socket => {
 			this._accept(socket);
 		});
@@ -94,7 +95,7 @@
 		}
 
 		if (this._state === linkState.slow) {
-			setTimeout(action, slowMs);
+			this._clock.setTimer(slowMs, action);
 		} else {
 			action();
 		}
