--- a/src/common/forwarding/forwarder.test.ts
+++ b/src/common/forwarding/forwarder.test.ts
@@ -1,107 +1,13 @@
 import {expect, it} from 'vitest';
-import {ManualClock} from '../../testing/manual-clock.js';
-import {RecordingSink} from '../../testing/recording-sink.js';
-import {answerHead, type ScriptedAttempt, ScriptedPort} from '../../testing/scripted-port.js';
-import {nullCounters} from '../base/null-counters.js';
-import {nullLogger} from '../base/null-logger.js';
-import {SeededRandom} from '../base/seeded-random.js';
-import {type BackendServer} from '../control/backend-server.js';
-import {RetryBudget} from '../entry/retry-budget.js';
+import {forwardWorld, testBackend} from '../../testing/forward-world.js';
+import {scriptedAnswers} from '../../testing/scripted-answers.js';
+import {answerHead} from '../../testing/scripted-port.js';
 import {type ForwardRequest} from './forward-request.js';
-import {Forwarder} from './forwarder.js';
-import {LoadAwareCascade} from './load-aware-cascade.js';
-import {AffinityPlacement} from './placement.js';
-import {RouteTable} from './route-table.js';
-import {repetition, type Repetition, type Route} from './routing-config.js';
-import {ServerPool} from './server-pool.js';
+import {type Repetition} from './routing-config.js';
 
-const encoder = new TextEncoder();
-
-function server(id: string, changes: Partial<BackendServer> = {}): BackendServer {
-	return {
-		id, incarnation: 1, address: `10.0.0.${id.length}:1`, zone: 'z', kind: 'plain', offers: [], services: ['s'], checksFencing: false, checksSender: false, capacity: 4, release: 'v1', ...changes,
-	};
-}
-
-function world(kind: Repetition, changes: Partial<Route> = {}, servers: readonly BackendServer[] = [server('a'), server('bb'), server('ccc')]) {
-	const route: Route = {
-		name: 'r', hostname: 'h.example', pathPrefix: '/a/', repetition: kind, timeoutMs: 1000, targetLatencyMs: 500, targetPauseMs: 0, priority: 2, services: [{service: 's', weight: 1}], maxAttempts: 3, isAnonymous: false, hasPromptParts: false, isResumable: kind === repetition.stream, models: [], ...changes,
-	};
-	const clock = new ManualClock();
-	const random = new SeededRandom(1);
-	const pool = new ServerPool();
-	pool.update(servers);
-	const port = new ScriptedPort();
-	const lease = {expiresAt: 100_000, isValid: () => lease.expiresAt > clock.now()};
-	const table = new RouteTable({
-		version: 1,
-		routes: [route],
-		services: [{
-			name: 's', healthPath: '/', maxConnections: 10, slots: undefined, models: [],
-		}],
-		limits: {
-			maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
-		},
-		customers: [{name: 'shop', keys: ['key'], priority: 1}],
-	});
-	const budget = new RetryBudget(0.5, 5);
-	const forwarder = new Forwarder({
-		zone: 'z', clock, logger: nullLogger, counters: nullCounters, lease, state: () => ({table, rollouts: new Map(), hostCount: 1}), pool, port, placement: new AffinityPlacement(random), models: new LoadAwareCascade(60, 2), observer: {observe: () => undefined}, sessions: {note: () => undefined, isHeld: () => false}, budget: () => budget, random: () => random.next(),
-	});
-	const send = (req: Partial<ForwardRequest> = {}) => {
-		const sink = new RecordingSink();
-		forwarder.forward({
-			id: 'q', hostname: 'h.example', path: '/a/x', key: 'key', deadlineMs: 2000, session: undefined, generation: undefined, resumeAfter: undefined, message: {
-				method: 'GET', target: '/a/x', headers: [], body: undefined,
-			}, ...req,
-		}, sink);
-		return sink;
-	};
-
-	return {
-		clock, pool, port, lease, forwarder, send, budget,
-	};
-}
-
-/** What a backend server does with an attempt. */
-const answers = {
-	good({events}: ScriptedAttempt) {
-		events.onHead(answerHead({length: 2}));
-		events.onData(encoder.encode('ok'));
-		events.onEnd();
-	},
-	failed({events}: ScriptedAttempt) {
-		events.onHead(answerHead({status: 500, length: 0}));
-		events.onEnd();
-	},
-	notRun({events}: ScriptedAttempt) {
-		events.onHead(answerHead({status: 503, isNotRun: true}));
-		events.onEnd();
-	},
-	otherServer({events}: ScriptedAttempt) {
-		events.onHead(answerHead({status: 421, isOtherServer: true}));
-		events.onEnd();
-	},
-	reset({events}: ScriptedAttempt) {
-		events.onFailure({isUnsent: false, reason: 'reset'});
-	},
-	unsent({events}: ScriptedAttempt) {
-		events.onFailure({isUnsent: true, reason: 'refused'});
-	},
-	short({events}: ScriptedAttempt) {
-		events.onHead(answerHead({length: 5}));
-		events.onData(encoder.encode('ok'));
-		events.onEnd();
-	},
-	ofAnother({events}: ScriptedAttempt) {
-		events.onHead(answerHead({isForRequest: false}));
-	},
-	unsigned({events}: ScriptedAttempt) {
-		events.onHead(answerHead({isSigned: false}));
-	},
-} as const;
+type Step = keyof typeof scriptedAnswers;
 
-type Step = keyof typeof answers;
+const encoder = new TextEncoder();
 
 // Guards against requests that run twice, refusals that are not true, and answers that are broken or another request's.
 it.each<{kind: Repetition; steps: Step[]; status: number; ran?: string; attempts: number}>([
@@ -157,9 +63,9 @@
 		kind: 'once', steps: ['unsent', 'unsent', 'unsent'], status: 503, ran: 'no', attempts: 3,
 	},
 ])('answers $kind request with $status after $steps', ({kind, steps, status, ran, attempts}) => {
-	const {port, send} = world(kind);
+	const {port, send} = forwardWorld(kind);
 	port.onAttempt = (attempt, index) => {
-		answers[steps[index]!](attempt);
+		scriptedAnswers[steps[index]!](attempt);
 	};
 
 	const sink = send();
@@ -180,82 +86,13 @@
 	{name: 'an unknown path', req: {path: '/b/'}, status: 404},
 	{name: 'an unknown host', req: {hostname: 'other.example'}, status: 404},
 ])('refuses a request with $name at once', async ({req, leaseEnd, at = 0, status}) => {
-	const {clock, port, send, lease} = world('idempotent');
+	const {clock, port, send, lease} = forwardWorld('idempotent');
 	await clock.advance(at);
 	lease.expiresAt = leaseEnd ?? lease.expiresAt;
 	expect(send(req).refusal).toMatchObject({status, ran: 'no'});
 	expect(port.attempts).toHaveLength(0);
 });
 
-// Guards against callers who are sent away just before the lease comes, and against requests that are held although none comes.
-it.each<{name: string; lapse?: number; sentAt: number; deadlineMs?: number; leaseAt?: number; answeredAt: number; status: number}>([
-	{
-		name: 'waits for the first lease', sentAt: 500, leaseAt: 1200, answeredAt: 1200, status: 200,
-	},
-	{
-		name: 'is refused when the first lease does not come', sentAt: 500, answeredAt: 1800, status: 503,
-	},
-	{
-		name: 'is refused at once when its deadline is too near', sentAt: 500, deadlineMs: 900, leaseAt: 1200, answeredAt: 500, status: 503,
-	},
-	{
-		name: 'is refused at once when no lease is expected', sentAt: 2000, leaseAt: 2100, answeredAt: 2000, status: 503,
-	},
-	{
-		name: 'waits for a lease that has just lapsed', lapse: 5000, sentAt: 6000, leaseAt: 6100, answeredAt: 6100, status: 200,
-	},
-	{
-		name: 'is refused when the lapsed lease does not come back', lapse: 5000, sentAt: 6000, answeredAt: 6400, status: 503,
-	},
-])('a request without a lease $name', async ({lapse, sentAt, deadlineMs = 8000, leaseAt, answeredAt, status}) => {
-	const {clock, port, send, lease, forwarder} = world('idempotent');
-	port.onAttempt = answers.good;
-	lease.expiresAt = lapse ?? 0;
-	if (lapse !== undefined) {
-		forwarder.open();
-	}
-
-	await clock.advance(sentAt);
-	const sink = send({deadlineMs});
-	const outcome = () => sink.status ?? sink.refusal?.status;
-	await clock.advance(Math.max(0, answeredAt - sentAt - 1));
-	expect(outcome()).toBe(answeredAt === sentAt ? status : undefined);
-	if (leaseAt !== undefined) {
-		await clock.advance(leaseAt - clock.now());
-		lease.expiresAt = 20_000;
-		forwarder.open();
-	}
-
-	await clock.advance(1);
-	expect(outcome()).toBe(status);
-	expect(port.attempts).toHaveLength(status === 200 ? 1 : 0);
-	expect(forwarder.active).toBe(0);
-});
-
-// Guards against time that is counted twice: what a request has waited is not left for its engine, nor beyond the limit of its route.
-it('counts the wait for a lease against the deadline', async () => {
-	const {clock, port, send, lease, forwarder} = world('idempotent', {timeoutMs: 5000});
-	lease.expiresAt = 0;
-	send({deadlineMs: 4500});
-	await clock.advance(1000);
-	lease.expiresAt = 20_000;
-	forwarder.open();
-	expect(port.attempts[0]!.terms.remainingMs).toBe(3500);
-});
-
-// Guards against work for callers who have left while they waited.
-it('drops a waiting request when its caller leaves', async () => {
-	const {clock, port, send, lease, forwarder} = world('idempotent');
-	lease.expiresAt = 0;
-	const sink = send({deadlineMs: 8000});
-	sink.onGone?.();
-	await clock.advance(1000);
-	lease.expiresAt = 20_000;
-	forwarder.open();
-	expect(port.attempts).toHaveLength(0);
-	expect(forwarder.active).toBe(0);
-});
-
 // Guards against engines that work for callers who have left, and callers who wait past the limit of the route.
 it.each<{name: string; event: 'gone' | 'timeout'; isStarted: boolean}>([
 	{name: 'leaves before the answer', event: 'gone', isStarted: false},
@@ -263,7 +100,7 @@
 	{name: 'waits for the time limit', event: 'timeout', isStarted: false},
 	{name: 'waits for the time limit during a stream', event: 'timeout', isStarted: true},
 ])('ends the attempt when the caller $name', async ({event, isStarted}) => {
-	const {clock, port, send, forwarder} = world('stream');
+	const {clock, port, send, forwarder} = forwardWorld('stream');
 	const sink = send();
 	if (isStarted) {
 		port.attempts[0]!.events.onHead(answerHead());
@@ -283,7 +120,7 @@
 
 // Guards against gaps, repeated events and torn events when a stream goes on at another backend server.
 it('joins two runs of a stream without a gap or a repetition', () => {
-	const {port, send} = world('stream');
+	const {port, send} = forwardWorld('stream');
 	const sink = send();
 	const [first] = port.attempts;
 	first!.events.onHead(answerHead());
@@ -304,7 +141,7 @@
 	{isResumable: true, attempts: 2, isCut: false},
 	{isResumable: false, attempts: 1, isCut: true},
 ])('treats a torn event as a broken stream, resumable $isResumable', ({isResumable, attempts, isCut}) => {
-	const {port, send} = world('stream', {isResumable});
+	const {port, send} = forwardWorld('stream', {isResumable});
 	const sink = send();
 	const {events} = port.attempts[0]!;
 	events.onHead(answerHead());
@@ -324,7 +161,7 @@
 	{confidence: 30, latencyMs: 50, models: ['small', 'large']},
 	{confidence: 30, latencyMs: 400, models: ['small']},
 ])('asks $models at confidence $confidence and a latency of $latencyMs ms', async ({confidence, latencyMs, models}) => {
-	const {clock, port, send} = world('stream', {models: ['small', 'middle', 'large']});
+	const {clock, port, send} = forwardWorld('stream', {models: ['small', 'middle', 'large']});
 	// A first request tells the latency of the large model.
 	send({generation});
 	port.attempts[0]!.events.onHead(answerHead({confidence: 0}));
@@ -340,7 +177,7 @@
 
 // Guards against new work for a backend server that is leaving.
 it('sends nothing to a draining backend server', () => {
-	const {port, send} = world('idempotent', {}, [server('a', {isDraining: true}), server('bb')]);
+	const {port, send} = forwardWorld('idempotent', {}, [testBackend('a', {isDraining: true}), testBackend('bb')]);
 	for (let index = 0; index < 10; index++) {
 		send();
 	}
@@ -350,8 +187,8 @@
 
 // Guards against retries that multiply the load of a fault.
 it('stops to retry when the budget is used up', () => {
-	const {port, send} = world('idempotent');
-	port.onAttempt = answers.reset;
+	const {port, send} = forwardWorld('idempotent');
+	port.onAttempt = scriptedAnswers.reset;
 	for (let index = 0; index < 100; index++) {
 		send();
 	}
--- /dev/null
+++ b/src/testing/forward-world.ts
@@ -0,0 +1,63 @@
+import {nullCounters} from '../common/base/null-counters.js';
+import {nullLogger} from '../common/base/null-logger.js';
+import {SeededRandom} from '../common/base/seeded-random.js';
+import {type BackendServer} from '../common/control/backend-server.js';
+import {RetryBudget} from '../common/entry/retry-budget.js';
+import {type ForwardRequest} from '../common/forwarding/forward-request.js';
+import {Forwarder} from '../common/forwarding/forwarder.js';
+import {LoadAwareCascade} from '../common/forwarding/load-aware-cascade.js';
+import {AffinityPlacement} from '../common/forwarding/placement.js';
+import {RouteTable} from '../common/forwarding/route-table.js';
+import {repetition, type Repetition, type Route} from '../common/forwarding/routing-config.js';
+import {ServerPool} from '../common/forwarding/server-pool.js';
+import {ManualClock} from './manual-clock.js';
+import {RecordingSink} from './recording-sink.js';
+import {ScriptedPort} from './scripted-port.js';
+
+/** A backend server of service `s`. */
+export function testBackend(id: string, changes: Partial<BackendServer> = {}): BackendServer {
+	return {
+		id, incarnation: 1, address: `10.0.0.${id.length}:1`, zone: 'z', kind: 'plain', offers: [], services: ['s'], checksFencing: false, checksSender: false, capacity: 4, release: 'v1', ...changes,
+	};
+}
+
+/** A forwarder with one route, which lets time pass by hand and plays its backend servers from a script. */
+export function forwardWorld(kind: Repetition, changes: Partial<Route> = {}, servers: readonly BackendServer[] = [testBackend('a'), testBackend('bb'), testBackend('ccc')]) {
+	const route: Route = {
+		name: 'r', hostname: 'h.example', pathPrefix: '/a/', repetition: kind, timeoutMs: 1000, targetLatencyMs: 500, targetPauseMs: 0, priority: 2, services: [{service: 's', weight: 1}], maxAttempts: 3, isAnonymous: false, hasPromptParts: false, isResumable: kind === repetition.stream, models: [], ...changes,
+	};
+	const clock = new ManualClock();
+	const random = new SeededRandom(1);
+	const pool = new ServerPool();
+	pool.update(servers);
+	const port = new ScriptedPort();
+	const lease = {expiresAt: 100_000, isValid: () => lease.expiresAt > clock.now()};
+	const table = new RouteTable({
+		version: 1,
+		routes: [route],
+		services: [{
+			name: 's', healthPath: '/', maxConnections: 10, slots: undefined, models: [],
+		}],
+		limits: {
+			maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+		},
+		customers: [{name: 'shop', keys: ['key'], priority: 1}],
+	});
+	const budget = new RetryBudget(0.5, 5);
+	const forwarder = new Forwarder({
+		zone: 'z', clock, logger: nullLogger, counters: nullCounters, lease, state: () => ({table, rollouts: new Map(), hostCount: 1}), pool, port, placement: new AffinityPlacement(random), models: new LoadAwareCascade(60, 2), observer: {observe: () => undefined}, sessions: {note: () => undefined, isHeld: () => false}, budget: () => budget, random: () => random.next(),
+	});
+	const send = (req: Partial<ForwardRequest> = {}) => {
+		const sink = new RecordingSink();
+		forwarder.forward({
+			id: 'q', hostname: 'h.example', path: '/a/x', key: 'key', deadlineMs: 2000, session: undefined, generation: undefined, resumeAfter: undefined, message: {
+				method: 'GET', target: '/a/x', headers: [], body: undefined,
+			}, ...req,
+		}, sink);
+		return sink;
+	};
+
+	return {
+		clock, pool, port, lease, forwarder, send, budget,
+	};
+}
