Decide escalations by load reports, and hold the smaller answer meanwhile

Cause: 40 % of the generations ask the largest model, whose latency each host learnt from about one request a second. Under load or with few engines it was asked long after it could answer in time, and the smaller answer was already thrown away. Look-ups that end with 500 fail at both servers that are asked: the error belongs to the request. Change: before an escalation the host asks two engines for their load and sends to the one with fewer waiting prompts. The time to the first event is a line over the prompt tokens ahead, fitted to the answers that this host saw. The smaller answer is held and delivered when no engine can answer in time, reports its load or answers within twice the target. Less urgent routes stop escalating at a lower load. A request or stream without any sign of life for its target latency or twice its target pause is sent to another server, if it may run again and the budget allows.

--- a/src/common/forwarding/attempt.ts
+++ b/src/common/forwarding/attempt.ts
@@ -1,6 +1,7 @@
 import {type AttemptHandle} from './backend-port.js';
 import {EventSplitter} from './event-splitter.js';
 import {type AnswerHead} from './forward-request.js';
+import {type ServerLoad} from './server-load.js';
 import {type ServerRecord} from './server-pool.js';
 
 /** Largest answer in bytes that is buffered until it is complete, so that a broken one can be retried. */
@@ -10,12 +11,16 @@
 export class Attempt {
 	handle: AttemptHandle | undefined;
 	head: AnswerHead | undefined;
+	/** Time at which the head arrived. */
+	headAt: number | undefined;
+	/** Whether the answer ended while it was held back. */
+	hasEnded = false;
 	readonly splitter = new EventSplitter();
 	private readonly _bufferedChunks: Uint8Array[] = [];
 	private _bufferedBytes = 0;
 	private _isFinished = false;
 
-	constructor(readonly record: ServerRecord, readonly model: string | undefined, readonly sentAt: number) {
+	constructor(readonly record: ServerRecord, readonly model: string | undefined, readonly sentAt: number, readonly load?: ServerLoad) {
 		record.inFlight++;
 		record.health.recordSent(sentAt);
 	}
@@ -41,6 +46,17 @@
 		return this._bufferedBytes <= maxBufferedBytes;
 	}
 
+	/** Records for the health of the server whether it failed this attempt. */
+	recordResult(isFailed: boolean, now: number): void {
+		this.record.health.record(isFailed, this.sentAt, now);
+	}
+
+	/** Removes and returns the buffered chunks. */
+	takeBuffered(): readonly Uint8Array[] {
+		this._bufferedBytes = 0;
+		return this._bufferedChunks.splice(0);
+	}
+
 	/** Marks the attempt as finished. */
 	finish(): void {
 		if (!this._isFinished) {
@@ -55,8 +71,9 @@
 		this.handle?.abort();
 	}
 
-	/** Describes the attempt for the log: server, model and outcome. */
+	/** Describes the attempt for the log: server, model, outcome and time to the head of the answer. */
 	describe(outcome: string): string {
-		return [this.record.server.id, this.model, outcome].filter(part => part !== undefined).join(':');
+		const headMs = this.headAt === undefined ? 'no-head' : `${Math.round(this.headAt - this.sentAt)}ms`;
+		return [this.record.server.id, this.model, outcome, headMs].filter(part => part !== undefined).join(':');
 	}
 }
--- /dev/null
+++ b/src/common/forwarding/decayed-line.ts
@@ -0,0 +1,43 @@
+/** Weight of the origin as a sample; it keeps the slope of a few samples with nearly the same x plausible. */
+const originWeight = 0.5;
+
+/** Straight line fitted to samples by least squares; older samples count less. Slope and intercept are never negative. */
+export class DecayedLine {
+	private _count = 0;
+	private _x = 0;
+	private _y = 0;
+	private _xx = 0;
+	private _xy = 0;
+	private _decayedAt = 0;
+
+	/** `_halfLifeMs` is the time in milliseconds after which a sample counts half. */
+	constructor(private readonly _halfLifeMs: number) {}
+
+	/** Mean x of the samples; undefined before the first one. */
+	get meanX(): number | undefined {
+		return this._count > 0 ? this._x / this._count : undefined;
+	}
+
+	add(x: number, y: number, now: number): void {
+		const factor = 0.5 ** (Math.max(0, now - this._decayedAt) / this._halfLifeMs);
+		this._decayedAt = now;
+		this._count = (this._count * factor) + 1;
+		this._x = (this._x * factor) + x;
+		this._y = (this._y * factor) + y;
+		this._xx = (this._xx * factor) + (x * x);
+		this._xy = (this._xy * factor) + (x * y);
+	}
+
+	/** Value of the line; 0 before the first sample. */
+	at(x: number): number {
+		const count = this._count + originWeight;
+		const spread = (count * this._xx) - (this._x * this._x);
+		const slope = spread > 0 ? ((count * this._xy) - (this._x * this._y)) / spread : 0;
+		if (slope <= 0) {
+			return this._y / count;
+		}
+
+		const intercept = (this._y - (slope * this._x)) / count;
+		return intercept >= 0 ? intercept + (slope * x) : x * this._xy / this._xx;
+	}
+}
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -4,33 +4,32 @@
 import {type AttemptEvents, type AttemptFailure} from './backend-port.js';
 import {type CallerSink} from './caller-sink.js';
 import {attemptTerms} from './attempt-terms.js';
-import {chooseServer} from './choose-server.js';
+import {chooseServer, recordSession} from './choose-server.js';
+import {type EscalatingRequest, Escalation} from './escalation.js';
 import {type AnswerHead} from './forward-request.js';
 import {type ForwardServices} from './forward-services.js';
 import {type AdmittedRequest} from './forwarder.js';
 import {mayHaveRunRefusal, notRunRefusal, timeoutReason} from './router-refusals.js';
 import {guardedEvents} from './guarded-events.js';
 import {RequestModel} from './request-model.js';
-import {mayRepeat} from './may-repeat.js';
+import {RequestAttempts} from './request-attempts.js';
+import {type ServerChoice} from './loaded-server.js';
+import {headTimeoutMs, pauseTimeoutMs} from './stall-timeouts.js';
+import {StallWatch} from './stall-watch.js';
 import {reportRequest} from './request-report.js';
 import {repetition} from './routing-config.js';
 
-/** Backoff in milliseconds after a backend server refused a request without naming a time. */
-const defaultBackoffMs = 150;
-/** Minimum time in milliseconds until the deadline for another attempt. */
-const minRetryTimeMs = 50;
-
 /** Forwards one request from its admission to its final answer: attempts, retries, escalation, resumption and timeout. */
-export class ForwardRun {
-	private readonly _startedAt: number;
-	private readonly _deadlineAt: number;
-	private readonly _model: RequestModel;
+export class ForwardRun implements EscalatingRequest {
+	readonly startedAt: number;
+	readonly deadlineAt: number;
+	readonly model: RequestModel;
+	private readonly _escalation: Escalation;
 	private readonly _relay: AnswerRelay;
-	private readonly _isRepeatable: boolean;
-	private readonly _tried = new Set<string>();
+	private readonly _attempts: RequestAttempts;
+	private readonly _stallWatch: StallWatch;
 	/** Description of each attempt, for the log. */
 	private readonly _trail: string[] = [];
-	private _attempts = 0;
 	private _mayHaveRun = false;
 	private _current: Attempt | undefined;
 	private _timer: Disposable | undefined;
@@ -43,11 +42,19 @@
 		private readonly _onFinished: () => void,
 	) {
 		const {req, route, arrivedAt} = _admitted;
-		this._startedAt = arrivedAt;
-		this._deadlineAt = this._startedAt + Math.min(req.deadlineMs ?? Infinity, route.timeoutMs);
-		this._isRepeatable = mayRepeat(route);
+		this.startedAt = arrivedAt;
+		this.deadlineAt = this.startedAt + Math.min(req.deadlineMs ?? Infinity, route.timeoutMs);
+		this._attempts = new RequestAttempts(_services, _admitted, this.deadlineAt);
 		this._relay = new AnswerRelay(_sink, route.repetition === repetition.stream, req.resumeAfter);
-		this._model = new RequestModel(_services, _admitted, this._startedAt);
+		this.model = new RequestModel(_services, _admitted, this.startedAt, this.deadlineAt);
+		this._escalation = new Escalation(_services, _admitted, this);
+		this._stallWatch = new StallWatch(_services.clock, () => {
+			this._onStall();
+		});
+	}
+
+	private get _remainingMs(): number {
+		return this.deadlineAt - this._services.clock.now();
 	}
 
 	start(): void {
@@ -61,40 +68,74 @@
 		};
 
 		this._sink.onDrain = () => {
+			this._stallWatch.resume();
 			this._current?.handle?.resume();
 		};
 
 		this._attempt();
 	}
 
-	private get _remainingMs(): number {
-		return this._deadlineAt - this._services.clock.now();
-	}
-
-	/** Sends the request to the best untried backend server. A tried one may be reused when the attempt asks another model. */
-	private _attempt(mayReuseServer = false): void {
+	send({record, load}: ServerChoice): void {
 		const {clock, lease, port} = this._services;
-		const record = chooseServer(this._services, this._admitted, this._tried, mayReuseServer);
-		if (!record) {
-			this._endWithoutAnswer('no-server');
-			return;
-		}
-
 		// Checks the lease as late as possible: it may have expired since the request was admitted.
 		if (!lease.isValid()) {
 			this._endWithoutAnswer('lease-expired');
 			return;
 		}
 
-		const attempt = new Attempt(record, this._model.name, clock.now());
+		const attempt = new Attempt(record, this.model.name, clock.now(), load);
 		this._current = attempt;
-		this._attempts++;
-		this._tried.add(record.key);
+		this._attempts.add(record.key);
+		recordSession(this._services, this._admitted, record);
+		// A held answer has a timeout of its own.
+		this._stallWatch.watch(this._attempts.isRepeatable && !this._escalation.isHolding ? headTimeoutMs(this._admitted.route) : 0);
 		attempt.handle = port.send(this._admitted.req.message, attemptTerms(this._services, this._admitted, record, {
-			remainingMs: this._remainingMs, model: attempt.model, resumeAfter: this._relay.lastEventId, isEscalated: this._model.isEscalated,
+			remainingMs: this._remainingMs, model: attempt.model, resumeAfter: this._relay.lastEventId, isEscalated: this.model.isEscalated,
 		}), this._eventsOf(attempt));
 	}
 
+	takeRetry(): boolean {
+		return this._attempts.takeRetry();
+	}
+
+	/** Delivers the answer of an earlier attempt, as far as it has arrived, in place of the attempt in flight. */
+	deliver(earlier: Attempt): void {
+		if (this._current && this._current !== earlier && !this._current.isFinished) {
+			this.model.recordFirstEvent(this._current);
+			this.abandon(this._current, 'slower-than-held');
+		}
+
+		this._current = earlier;
+		this._beginAnswer(earlier.head!);
+		for (const chunk of earlier.takeBuffered()) {
+			this._onData(earlier, chunk);
+		}
+
+		if (earlier.hasEnded) {
+			this._onEnd(earlier);
+		}
+	}
+
+	/** Records the outcome of an attempt for the log and aborts the attempt. */
+	abandon(attempt: Attempt, outcome: string): void {
+		this._trail.push(attempt.describe(outcome));
+		attempt.abort();
+	}
+
+	note(decision: string): void {
+		this._trail.push(decision);
+	}
+
+	/** Sends the request to the best untried backend server. */
+	private _attempt(): void {
+		const record = chooseServer(this._services, this._admitted, this._attempts.tried);
+		if (record) {
+			this.send({record});
+		} else {
+			this._endWithoutAnswer('no-server');
+		}
+	}
+
 	/** Returns the handlers for the events of an attempt; they ignore events after the attempt or the request has finished. */
 	private _eventsOf(attempt: Attempt): AttemptEvents {
 		return guardedEvents(() => !attempt.isFinished && !this._isFinished, {
@@ -113,6 +154,7 @@
 
 	private _onHead(attempt: Attempt, head: AnswerHead): void {
 		attempt.head = head;
+		attempt.headAt = this._services.clock.now();
 		if (!head.isForRequest) {
 			this._fail(attempt, 'answer-of-another-request');
 			return;
@@ -126,62 +168,92 @@
 		this._mayHaveRun = true;
 		const isFailed = head.status >= 500;
 		this._observe(attempt, isFailed);
-		if (isFailed && this._isRepeatable && this._takeRetry()) {
-			this._abandon(attempt, `status-${head.status}`);
+		const isSuccess = head.status >= 200 && head.status < 300;
+		if (!isSuccess && this._escalation.isHolding) {
+			this.abandon(attempt, `status-${head.status}`);
+			this._escalation.deliver();
+			return;
+		}
+
+		if (isFailed && this._attempts.isRepeatable && this.takeRetry()) {
+			this.abandon(attempt, `status-${head.status}`);
 			this._attempt();
 			return;
 		}
 
-		const isSuccess = head.status >= 200 && head.status < 300;
 		if ((isSuccess && !head.isSigned) || (this._sink.isStarted && !isSuccess)) {
 			this._fail(attempt, isSuccess ? 'unsigned-answer' : `resumed-${head.status}`);
 			return;
 		}
 
-		if (isSuccess && !this._sink.isStarted && this._escalate(attempt, head)) {
+		const mayAskAgain = isSuccess && !this._sink.isStarted && this._attempts.mayRunAgain;
+		if (mayAskAgain && this._escalation.isUseful(attempt)) {
+			void this._escalation.start(attempt);
 			return;
 		}
 
+		this._escalation.drop('escalated');
+		this._beginAnswer(head);
+	}
+
+	private _beginAnswer(head: AnswerHead): void {
+		this._stallWatch.watch(this._attempts.isRepeatable ? pauseTimeoutMs(this._admitted.route) : 0);
 		this._relay.begin(head);
 	}
 
+	/** Asks another backend server when the current one has sent nothing for too long. Without a retry, the request waits on. */
+	private _onStall(): void {
+		const attempt = this._current;
+		if (!attempt || attempt.isFinished || !this.takeRetry()) {
+			return;
+		}
+
+		this._mayHaveRun = true;
+		attempt.recordResult(true, this._services.clock.now());
+		this.abandon(attempt, 'stalled');
+		this._attempt();
+	}
+
 	/** Records the status and latency of an answer for its backend server, release and model. */
 	private _observe(attempt: Attempt, isFailed: boolean): void {
 		const {clock, observer} = this._services;
 		const {service, route} = this._admitted;
 		const {record, sentAt} = attempt;
 		const now = clock.now();
-		this._model.observe(attempt);
+		attempt.recordResult(isFailed, now);
+		this.model.recordFirstEvent(attempt);
 		observer.observe({
 			service, route: route.name, record, isFailed, latencyMs: now - sentAt,
 		});
-		record.health.record(isFailed, sentAt, now);
 	}
 
-	/** Drops the answer and asks a larger model when the confidence is too low. @returns whether a larger model was asked. */
-	private _escalate(attempt: Attempt, {confidence}: AnswerHead): boolean {
-		const larger = this._isRepeatable && this._attempts < this._admitted.route.maxAttempts ? this._model.largerThan(attempt.model, confidence) : undefined;
-		if (larger === undefined || !this._takeRetry()) {
-			return false;
+	private _onData(attempt: Attempt, chunk: Uint8Array): boolean {
+		if (this._escalation.holds(attempt)) {
+			this._escalation.buffer(chunk);
+			return true;
 		}
 
-		this._abandon(attempt, `escalated-at-${confidence}`);
-		this._model.use(larger);
-		this._attempt(true);
-		return true;
-	}
-
-	private _onData(attempt: Attempt, chunk: Uint8Array): boolean {
+		this._stallWatch.touch();
 		const result = this._relay.push(attempt, chunk);
 		if (result === 'too-long') {
 			this._fail(attempt, 'answer-too-long');
 			return true;
 		}
 
+		if (!result) {
+			this._stallWatch.suspend();
+		}
+
 		return result;
 	}
 
 	private _onEnd(attempt: Attempt): void {
+		if (this._escalation.holds(attempt)) {
+			attempt.hasEnded = true;
+			attempt.finish();
+			return;
+		}
+
 		const {head} = attempt;
 		const problem = head ? this._relay.problemOf(attempt, head) : 'no-answer';
 		if (!head || problem) {
@@ -189,6 +261,7 @@
 			return;
 		}
 
+		this.model.recordEnd(attempt);
 		this._trail.push(attempt.describe(String(head.status)));
 		attempt.finish();
 		this._finish(this._relay.end(attempt, head) ? 'answered' : 'unframed-end');
@@ -200,10 +273,10 @@
 			return;
 		}
 
-		attempt.record.health.record(true, attempt.sentAt, this._services.clock.now());
-		this._abandon(attempt, reason);
-		this._attempts--;
-		if (this._remainingMs > minRetryTimeMs) {
+		attempt.recordResult(true, this._services.clock.now());
+		this.abandon(attempt, reason);
+		this._attempts.withdraw();
+		if (!this._escalation.isHolding && this._attempts.hasTime) {
 			this._attempt();
 		} else {
 			this._endWithoutAnswer(reason);
@@ -214,21 +287,31 @@
 	private _onRefused(attempt: Attempt, {isOtherServer, retryAfterSeconds}: AnswerHead): void {
 		const now = this._services.clock.now();
 		if (isOtherServer) {
-			attempt.record.health.record(true, attempt.sentAt, now);
+			attempt.recordResult(true, now);
 		} else {
-			attempt.record.overloadedUntil = now + (retryAfterSeconds === undefined ? defaultBackoffMs : retryAfterSeconds * 1000);
+			attempt.record.recordOverload(retryAfterSeconds, now);
 		}
 
-		this._abandon(attempt, isOtherServer ? 'other-server' : 'not-run');
+		this.abandon(attempt, isOtherServer ? 'other-server' : 'not-run');
 		this._retryOrEnd('server-refused');
 	}
 
 	/** Handles an attempt that may have run but has no usable answer. */
 	private _fail(attempt: Attempt, reason: string): void {
 		this._mayHaveRun = true;
-		attempt.record.health.record(true, attempt.sentAt, this._services.clock.now());
-		this._abandon(attempt, reason);
-		if (this._isRepeatable) {
+		attempt.recordResult(true, this._services.clock.now());
+		if (this._escalation.holds(attempt)) {
+			this._escalation.drop(reason);
+		} else {
+			this.abandon(attempt, reason);
+		}
+
+		// After the smaller answer of an escalation has failed, the larger model may still answer.
+		if (this._current !== attempt) {
+			return;
+		}
+
+		if (this._attempts.isRepeatable) {
 			this._retryOrEnd(reason);
 		} else {
 			this._endWithoutAnswer(reason);
@@ -237,21 +320,23 @@
 
 	/** Retries at another backend server, or ends the request when no retry is allowed. */
 	private _retryOrEnd(reason: string): void {
-		if (this._takeRetry()) {
+		if (this._escalation.deliver()) {
+			return;
+		}
+
+		if (this.takeRetry()) {
 			this._attempt();
 		} else {
 			this._endWithoutAnswer(reason);
 		}
 	}
 
-	/** Takes a retry from the budget, if attempts and time are left. @returns whether the request may be retried. */
-	private _takeRetry(): boolean {
-		const {route, service} = this._admitted;
-		return this._attempts < route.maxAttempts && this._remainingMs > minRetryTimeMs && this._services.budget(service).take();
-	}
-
 	/** Ends the request without a complete answer of a backend server. */
 	private _endWithoutAnswer(reason: string): void {
+		if (this._escalation.deliver()) {
+			return;
+		}
+
 		if (this._sink.isStarted) {
 			this._sink.destroy();
 		} else {
@@ -266,34 +351,30 @@
 		if (attempt && !attempt.isFinished) {
 			this._mayHaveRun = true;
 			if (!attempt.head) {
-				this._model.observe(attempt);
+				this.model.recordFirstEvent(attempt);
 			}
 
-			this._abandon(attempt, timeoutReason);
+			this.abandon(attempt, timeoutReason);
 		}
 
 		this._endWithoutAnswer(timeoutReason);
 	}
 
-	/** Records the outcome of an attempt for the log and aborts the attempt. */
-	private _abandon(attempt: Attempt, outcome: string): void {
-		this._trail.push(attempt.describe(outcome));
-		attempt.abort();
-	}
-
 	private _finish(outcome: string): void {
 		if (this._isFinished) {
 			return;
 		}
 
+		this._escalation.drop(outcome);
 		if (this._current && !this._current.isFinished) {
-			this._abandon(this._current, outcome);
+			this.abandon(this._current, outcome);
 		}
 
 		this._isFinished = true;
 		this._timer?.dispose();
+		this._stallWatch.dispose();
 		reportRequest(this._services, this._admitted, {
-			startedAt: this._startedAt, attempts: this._attempts, trail: this._trail, outcome,
+			startedAt: this.startedAt, attempts: this._attempts.count, trail: this._trail, outcome,
 		});
 		this._onFinished();
 	}
--- a/src/common/forwarding/forward-services.ts
+++ b/src/common/forwarding/forward-services.ts
@@ -6,6 +6,7 @@
 import {type RetryBudget} from '../entry/retry-budget.js';
 import {type BackendPort} from './backend-port.js';
 import {type ModelPolicy} from './model-policy.js';
+import {type ModelSpeeds} from './model-speeds.js';
 import {type Placement} from './placement.js';
 import {type ReleaseObserver} from './release-observer.js';
 import {type RouteTable} from './route-table.js';
@@ -40,6 +41,7 @@
 	readonly port: BackendPort;
 	readonly placement: Placement;
 	readonly models: ModelPolicy;
+	readonly speeds: ModelSpeeds;
 	readonly observer: ReleaseObserver;
 	readonly sessions: SessionStickiness;
 	/** Returns the retry budget of a service. */
--- a/src/common/forwarding/forwarder.test.ts
+++ b/src/common/forwarding/forwarder.test.ts
@@ -152,30 +152,6 @@
 	expect({isCut: sink.isCut, isEnded: sink.isEnded}).toEqual({isCut, isEnded: false});
 });
 
-const generation = {
-	model: undefined, inputTokens: 100, maxOutputTokens: 10, expectedOutputTokens: undefined, parts: [{id: 'p', tokens: 50}, {id: 'own', tokens: 50}],
-};
-
-// Guards against accepting answers of a small model with a low confidence, and against escalating when the larger model would be late.
-it.each([
-	{confidence: 80, latencyMs: 50, models: ['small']},
-	{confidence: 30, latencyMs: 50, models: ['small', 'large']},
-	{confidence: 30, latencyMs: 400, models: ['small']},
-])('asks $models at confidence $confidence and a latency of $latencyMs ms', async ({confidence, latencyMs, models}) => {
-	const {clock, port, send} = createForwarderFixture('stream', {models: ['small', 'middle', 'large']});
-	// A first request measures the latency of the large model.
-	send({generation});
-	port.attempts[0]!.events.onHead(answerHead({confidence: 0}));
-	await clock.advance(latencyMs);
-	port.attempts[1]!.events.onHead(answerHead({confidence: 90}));
-	port.attempts.length = 0;
-	const sink = send({generation});
-	port.attempts[0]!.events.onHead(answerHead({confidence}));
-	expect(port.attempts.map(({terms}) => terms.model)).toEqual(models);
-	expect(port.attempts[0]!.isAborted).toBe(models.length > 1);
-	expect(sink.isStarted).toBe(models.length === 1);
-});
-
 // Guards against new requests to a draining backend server.
 it('sends nothing to a draining backend server', () => {
 	const {port, send} = createForwarderFixture('idempotent', {}, [testBackend('a', {isDraining: true}), testBackend('bb')]);
--- a/src/common/forwarding/load-aware-cascade.test.ts
+++ b/src/common/forwarding/load-aware-cascade.test.ts
@@ -2,22 +2,46 @@
 import {SeededRandom} from '../base/seeded-random.js';
 import {LoadAwareCascade} from './load-aware-cascade.js';
 import {type ModelContext} from './model-policy.js';
+import {ModelSpeed} from './model-speed.js';
 import {type Route} from './routing-config.js';
 
 const targetMs = 1500;
+const timeoutMs = 8000;
 /** Time in milliseconds that an engine takes for one answer of each model. */
 const workMs = {small: 6, large: 60} as const;
 
-const route = {name: 'r', models: ['small', 'middle', 'large'], targetLatencyMs: targetMs} as unknown as Route;
+const route = {
+	name: 'r', models: ['small', 'middle', 'large'], targetLatencyMs: targetMs, priority: 0,
+} as unknown as Route;
 
-type Policy = Pick<LoadAwareCascade, 'escalate' | 'observe'>;
+const generation = {
+	model: undefined, inputTokens: 1000, maxOutputTokens: 100, expectedOutputTokens: 50, parts: [],
+};
+
+/** Decides whether to ask the largest model, given the requests that wait at the engine. */
+interface Policy {
+	escalates(context: ModelContext, confidence: number, waiting: number, now: number): boolean;
+	/** Records the time in milliseconds of an answer of the largest model, and the requests that waited when it was asked. */
+	observe(latencyMs: number, waiting: number, now: number): void;
+}
 
 /** Escalates each answer with a low confidence, whatever the load. */
 const alwaysEscalate: Policy = {
-	escalate: (_context, model, confidence) => model === 'small' && confidence < 55 ? 'large' : undefined,
+	escalates: (_context, confidence) => confidence < 55,
 	observe: () => undefined,
 };
 
+function loadAware(): Policy {
+	const cascade = new LoadAwareCascade(55, 1);
+	const speed = new ModelSpeed();
+	return {
+		escalates: (context, confidence, waiting, now) => cascade.larger(context, 'small', confidence) !== undefined && cascade.escalates(context, confidence, speed.expected(generation, {generating: 0, waiting}, now)),
+		observe(latencyMs, waiting, now) {
+			speed.recordFirstEvent(generation, {generating: 0, waiting}, latencyMs, now);
+		},
+	};
+}
+
 /**
 Simulates requests that arrive at random at one engine, which serves one at a time.
 
@@ -31,7 +55,7 @@
 	let onTime = 0;
 	const pending: Array<{at: number; run: () => void}> = [];
 	const context = (start: number): ModelContext => ({
-		route, generation: undefined as never, now, elapsedMs: now - start,
+		route, generation, elapsedMs: now - start, remainingMs: timeoutMs - (now - start),
 	});
 	const serve = (model: keyof typeof workMs, done: () => void) => {
 		freeAt = Math.max(freeAt, now) + workMs[model];
@@ -41,16 +65,15 @@
 	const arrive = () => {
 		const start = now;
 		serve('small', () => {
-			policy.observe(context(start), 'small', now - start);
-			const larger = policy.escalate(context(start), 'small', random.next() * 100);
+			const waiting = pending.length;
 			const sentAt = now;
 			const finish = () => {
 				onTime += now - start <= targetMs ? 1 : 0;
 			};
 
-			if (larger) {
+			if (policy.escalates(context(start), random.next() * 100, waiting, now)) {
 				serve('large', () => {
-					policy.observe(context(start), 'large', now - sentAt);
+					policy.observe(now - sentAt, waiting, now);
 					finish();
 				});
 			} else {
@@ -87,7 +110,7 @@
 	{perSecond: 100, alwaysAtMost: 0.2},
 ])('keeps answers on time at $perSecond requests a second', ({perSecond, alwaysAtLeast, alwaysAtMost}) => {
 	for (const seed of [1, 2, 3]) {
-		expect(simulate(new LoadAwareCascade(55, 2), perSecond, seed)).toBeGreaterThan(0.9);
+		expect(simulate(loadAware(), perSecond, seed)).toBeGreaterThan(0.9);
 		const alwaysOnTime = simulate(alwaysEscalate, perSecond, seed);
 		expect(alwaysOnTime).toBeGreaterThanOrEqual(alwaysAtLeast ?? 0);
 		expect(alwaysOnTime).toBeLessThanOrEqual(alwaysAtMost ?? 1);
@@ -96,11 +119,21 @@
 
 // Guards against a policy that never escalates again after an overload.
 it('escalates again some time after a slow answer of the largest model', () => {
-	const policy = new LoadAwareCascade(55, 2);
-	const at = (now: number): ModelContext => ({
-		route, generation: undefined as never, now, elapsedMs: 50,
-	});
-	policy.observe(at(0), 'large', 3000);
-	expect(policy.escalate(at(10), 'small', 10)).toBeUndefined();
-	expect(policy.escalate(at(4000), 'small', 10)).toBe('large');
+	const policy = loadAware();
+	const context: ModelContext = {
+		route, generation, elapsedMs: 50, remainingMs: timeoutMs,
+	};
+	policy.observe(3000, 0, 0);
+	expect(policy.escalates(context, 10, 0, 10)).toBe(false);
+	expect(policy.escalates(context, 10, 0, 12_000)).toBe(true);
+});
+
+// Guards against less urgent requests that take the largest model from more urgent ones under load.
+it('escalates the most urgent requests up to a higher load', () => {
+	const policy = loadAware();
+	policy.observe(1000, 0, 0);
+	const escalates = [0, 1, 2].map(priority => policy.escalates({
+		route: {...route, priority}, generation, elapsedMs: 0, remainingMs: timeoutMs,
+	}, 25, 0, 0));
+	expect(escalates).toEqual([true, false, false]);
 });
--- a/src/common/forwarding/model-policy.ts
+++ b/src/common/forwarding/model-policy.ts
@@ -1,4 +1,5 @@
 import {type GenerationInfo} from './forward-request.js';
+import {type AnswerTimes} from './model-speed.js';
 import {type Route} from './routing-config.js';
 
 /** Inputs to the choice of a model. */
@@ -7,15 +8,16 @@
 	readonly generation: GenerationInfo;
 	/** Time in milliseconds since the request arrived. */
 	readonly elapsedMs: number;
-	readonly now: number;
+	/** Time in milliseconds until the request times out. */
+	readonly remainingMs: number;
 }
 
 /** Chooses among the models that a route allows. */
 export interface ModelPolicy {
 	/** Returns the model of the first attempt. */
 	first(context: ModelContext): string;
-	/** Returns a larger model to ask instead of accepting an answer; undefined accepts the answer. */
-	escalate(context: ModelContext, model: string, confidence: number): string | undefined;
-	/** Records the time in milliseconds from sending an attempt to the head of its answer, or to its timeout. */
-	observe(context: ModelContext, model: string, latencyMs: number): void;
+	/** Returns the larger model that could improve an answer; undefined accepts the answer. */
+	larger(context: ModelContext, model: string, confidence: number): string | undefined;
+	/** Whether to ask the larger model, given the confidence of the answer and the expected times of the larger model's answer. */
+	escalates(context: ModelContext, confidence: number, expected: AnswerTimes): boolean;
 }
--- a/src/common/forwarding/request-model.ts
+++ b/src/common/forwarding/request-model.ts
@@ -2,6 +2,8 @@
 import {type AdmittedRequest} from './forwarder.js';
 import {type ForwardServices} from './forward-services.js';
 import {type ModelContext} from './model-policy.js';
+import {type AnswerTimes, type ModelSpeed} from './model-speed.js';
+import {type ServerLoad} from './server-load.js';
 
 /** Tracks the model that the router chooses for one request. */
 export class RequestModel {
@@ -9,9 +11,10 @@
 	private _isEscalated = false;
 
 	constructor(
-		private readonly _services: Pick<ForwardServices, 'clock' | 'models'>,
+		private readonly _services: Pick<ForwardServices, 'clock' | 'models' | 'speeds'>,
 		private readonly _admitted: AdmittedRequest,
 		private readonly _startedAt: number,
+		private readonly _deadlineAt: number,
 	) {
 		const context = this._context();
 		if (context && context.route.models.length > 0 && context.generation.model === undefined) {
@@ -29,31 +32,57 @@
 		return this._isEscalated;
 	}
 
-	/** Returns a larger model to ask instead of accepting an answer; undefined accepts the answer. */
+	/** Returns the larger model that could improve an answer; undefined accepts the answer. */
 	largerThan(model: string | undefined, confidence: number | undefined): string | undefined {
 		const context = this._context();
-		return context && model !== undefined && confidence !== undefined ? this._services.models.escalate(context, model, confidence) : undefined;
+		return context && model !== undefined && confidence !== undefined ? this._services.models.larger(context, model, confidence) : undefined;
 	}
 
-	/** Escalates the request: all further attempts use the given model. */
-	use(model: string): void {
-		this._name = model;
-		this._isEscalated = true;
+	/** Expected times of an answer of a larger model on a server with the given load. */
+	expected(model: string, load: ServerLoad | undefined): AnswerTimes | undefined {
+		const {req: {generation}} = this._admitted;
+		return generation && this._speed(model).expected(generation, load, this._services.clock.now());
 	}
 
-	/** Reports to the policy how long ago an attempt was sent. */
-	observe({model, sentAt}: Attempt): void {
+	/** Whether to ask a larger model, given the expected times of its answer. */
+	escalates(confidence: number, expected: AnswerTimes): boolean {
 		const context = this._context();
-		if (context && model !== undefined) {
-			this._services.models.observe(context, model, context.now - sentAt);
+		return context !== undefined && this._services.models.escalates(context, confidence, expected);
+	}
+
+	/** Sets the model of all further attempts. */
+	use(model: string, isEscalated: boolean): void {
+		this._name = model;
+		this._isEscalated = isEscalated;
+	}
+
+	/** Records the first event of an attempt, or its abort before that. */
+	recordFirstEvent({model, load, sentAt}: Attempt): void {
+		const {req: {generation}} = this._admitted;
+		if (generation && model !== undefined) {
+			const now = this._services.clock.now();
+			this._speed(model).recordFirstEvent(generation, load, now - sentAt, now);
 		}
 	}
 
+	/** Records the last event of an attempt. */
+	recordEnd({model, headAt}: Attempt): void {
+		const {req: {generation}} = this._admitted;
+		if (generation && model !== undefined && headAt !== undefined) {
+			const now = this._services.clock.now();
+			this._speed(model).recordEnd(generation, now - headAt, now);
+		}
+	}
+
+	private _speed(model: string): ModelSpeed {
+		return this._services.speeds.of(this._admitted.service, model);
+	}
+
 	private _context(): ModelContext | undefined {
 		const {req: {generation}, route} = this._admitted;
 		const now = this._services.clock.now();
 		return generation && {
-			route, generation, now, elapsedMs: now - this._startedAt,
+			route, generation, elapsedMs: now - this._startedAt, remainingMs: this._deadlineAt - now,
 		};
 	}
 }
--- a/src/common/forwarding/server-pool.ts
+++ b/src/common/forwarding/server-pool.ts
@@ -1,6 +1,9 @@
 import {backendKey, type BackendServer} from '../control/backend-server.js';
 import {BackendHealth} from '../routing/backend-health.js';
 
+/** Backoff in milliseconds after a backend server refused a request without naming a time. */
+const defaultBackoffMs = 150;
+
 /** A process of a backend server, with the state that this host derives from its own requests. */
 export class ServerRecord {
 	readonly health = new BackendHealth();
@@ -14,6 +17,11 @@
 	get key(): string {
 		return backendKey(this.server);
 	}
+
+	/** Records that the server refused a request because it is overloaded. */
+	recordOverload(retryAfterSeconds: number | undefined, now: number): void {
+		this.overloadedUntil = now + (retryAfterSeconds === undefined ? defaultBackoffMs : retryAfterSeconds * 1000);
+	}
 }
 
 /** Backend servers of each service, with their records. */
--- /dev/null
+++ b/src/common/forwarding/stall.test.ts
@@ -0,0 +1,75 @@
+import {expect, it} from 'vitest';
+import {createForwarderFixture} from '../../testing/forwarder-fixture.js';
+import {scriptedAnswers} from '../../testing/scripted-answers.js';
+import {answerHead} from '../../testing/scripted-port.js';
+import {type Repetition} from './routing-config.js';
+
+const encoder = new TextEncoder();
+const targetMs = 400;
+const pauseMs = 600;
+
+function createFixture(kind: Repetition) {
+	return createForwarderFixture(kind, {targetLatencyMs: targetMs, targetPauseMs: kind === 'stream' ? pauseMs : 0, timeoutMs: 20_000});
+}
+
+// Guards against requests that wait until their deadline for a server that has gone silent, against a second run of a request
+// that must not be repeated, and against retries at servers that are merely slow.
+it.each<{name: string; kind: Repetition; waitMs: number; attempts: number}>([
+	{
+		name: 'an idempotent request without an answer', kind: 'idempotent', waitMs: targetMs + 1, attempts: 2,
+	},
+	{
+		name: 'a stream without an answer', kind: 'stream', waitMs: targetMs + 1, attempts: 2,
+	},
+	{
+		name: 'a request within its target latency', kind: 'idempotent', waitMs: targetMs - 1, attempts: 1,
+	},
+	{
+		name: 'a request that must not be repeated', kind: 'once', waitMs: 10_000, attempts: 1,
+	},
+])('sends $name $attempts times', async ({kind, waitMs, attempts}) => {
+	const {clock, port, send} = createFixture(kind);
+	const sink = send({deadlineMs: 20_000});
+	await clock.advance(waitMs);
+	expect(port.attempts).toHaveLength(attempts);
+	expect(port.attempts[0]!.isAborted).toBe(attempts > 1);
+	scriptedAnswers.good(port.attempts.at(-1)!);
+	expect(sink.status).toBe(200);
+});
+
+// Guards against streams that end at the caller's deadline because their server has gone silent in the middle, and against
+// taking a pause for a fault when the caller itself does not read.
+it.each([
+	{name: 'the server is silent', isKeepingUp: true, attempts: 2},
+	{name: 'the caller does not read', isKeepingUp: false, attempts: 1},
+])('resumes a stream only when $name', async ({isKeepingUp, attempts}) => {
+	const {clock, port, send} = createFixture('stream');
+	const sink = send({deadlineMs: 20_000});
+	sink.isKeepingUp = isKeepingUp;
+	const {events} = port.attempts[0]!;
+	events.onHead(answerHead());
+	for (let id = 1; id <= 3; id++) {
+		await clock.advance(pauseMs); // eslint-disable-line no-await-in-loop -- events arrive one after the other
+		events.onData(encoder.encode(`id: ${id}\ndata: x\n\n`));
+	}
+
+	expect(port.attempts).toHaveLength(1);
+	await clock.advance(pauseMs * 2.2);
+	expect(port.attempts).toHaveLength(attempts);
+	expect(port.attempts[1]?.terms.resumeAfter).toBe(isKeepingUp ? 3 : undefined);
+	expect(port.attempts[0]!.isAborted).toBe(isKeepingUp);
+});
+
+// Guards against giving up a slow answer when no other server may be asked.
+it('waits on when the retry budget is exhausted', async () => {
+	const {clock, port, send, budget} = createFixture('idempotent');
+	while (budget.take()) {
+		// Exhausts the budget.
+	}
+
+	const sink = send({deadlineMs: 20_000});
+	await clock.advance(targetMs * 3);
+	expect(port.attempts).toHaveLength(1);
+	scriptedAnswers.good(port.attempts[0]!);
+	expect(sink.status).toBe(200);
+});
--- a/src/common/host/forward-host.ts
+++ b/src/common/host/forward-host.ts
@@ -16,6 +16,7 @@
 import {Forwarder} from '../forwarding/forwarder.js';
 import {type ForwardState} from '../forwarding/forward-services.js';
 import {LoadAwareCascade} from '../forwarding/load-aware-cascade.js';
+import {ModelSpeeds} from '../forwarding/model-speeds.js';
 import {AffinityPlacement} from '../forwarding/placement.js';
 import {RouteTable} from '../forwarding/route-table.js';
 import {type RoutingConfig} from '../forwarding/routing-config.js';
@@ -25,8 +26,8 @@
 
 /** Minimum confidence of an accepted answer of a small model; docs/platform-measurements.md has the side-by-side measurement. */
 const acceptedConfidence = 55;
-/** Safety factor on the expected latency of the largest model, so that few of its answers are late. */
-const latencyMargin = 2;
+/** Safety factor on the expected times of the largest model's answers, so that few of them are late. */
+const latencyMargin = 1;
 /** Fraction of the allowed retries that hosts use; the rest covers hosts that start with a full budget. */
 const retryShareFactor = 0.85;
 /** Maximum number of retries that one host accumulates; small, because the hosts do not coordinate their budgets. */
@@ -99,6 +100,7 @@
 			pool: this._pool,
 			port,
 			placement: new AffinityPlacement(random.fork('placement')),
+			speeds: new ModelSpeeds(),
 			models: new LoadAwareCascade(acceptedConfidence, latencyMargin),
 			observer: this._recorder,
 			sessions,
--- a/src/node/http-backend-port.test.ts
+++ b/src/node/http-backend-port.test.ts
@@ -12,6 +12,8 @@
 	decodeHead: (status, headers) => ({
 		status, headers: [], isNotRun: false, isOtherServer: false, isSigned: true, isForRequest: true, confidence: undefined, length: headers['content-length'] === undefined ? undefined : Number(headers['content-length']), isUnframed: false, retryAfterSeconds: undefined,
 	}),
+	loadPath: '/load',
+	decodeLoad: body => body === 'busy' ? {generating: 1, waiting: 2} : undefined,
 };
 
 let server: Server | undefined;
--- a/src/testing/forwarder-fixture.ts
+++ b/src/testing/forwarder-fixture.ts
@@ -6,6 +6,7 @@
 import {type ForwardRequest} from '../common/forwarding/forward-request.js';
 import {Forwarder} from '../common/forwarding/forwarder.js';
 import {LoadAwareCascade} from '../common/forwarding/load-aware-cascade.js';
+import {ModelSpeeds} from '../common/forwarding/model-speeds.js';
 import {AffinityPlacement} from '../common/forwarding/placement.js';
 import {RouteTable} from '../common/forwarding/route-table.js';
 import {repetition, type Repetition, type Route} from '../common/forwarding/routing-config.js';
@@ -45,7 +46,7 @@
 	});
 	const budget = new RetryBudget(0.5, 5);
 	const forwarder = new Forwarder({
-		zone: 'z', clock, logger: nullLogger, counters: nullCounters, lease, state: () => ({table, rollouts: new Map(), hostCount: 1}), pool, port, placement: new AffinityPlacement(random), models: new LoadAwareCascade(60, 2), observer: {observe: () => undefined}, sessions: {recordRequest: () => undefined, isSticky: () => false}, budget: () => budget, random: () => random.next(),
+		zone: 'z', clock, logger: nullLogger, counters: nullCounters, lease, state: () => ({table, rollouts: new Map(), hostCount: 1}), pool, port, placement: new AffinityPlacement(random), speeds: new ModelSpeeds(), models: new LoadAwareCascade(60, 1), observer: {observe: () => undefined}, sessions: {recordRequest: () => undefined, isSticky: () => false}, budget: () => budget, random: () => random.next(),
 	});
 	const send = (req: Partial<ForwardRequest> = {}) => {
 		const sink = new RecordingSink();
--- a/src/testing/recording-sink.ts
+++ b/src/testing/recording-sink.ts
@@ -7,6 +7,8 @@
 	refusal: Refusal | undefined;
 	isEnded = false;
 	isCut = false;
+	/** Whether the caller reads as fast as it is sent to. */
+	isKeepingUp = true;
 	onDisconnect: (() => void) | undefined;
 	onDrain: (() => void) | undefined;
 
@@ -20,7 +22,7 @@
 
 	write(chunk: Uint8Array): boolean {
 		this.text += new TextDecoder().decode(chunk);
-		return true;
+		return this.isKeepingUp;
 	}
 
 	end(): void {
