Ask a second server for its load only when the first is busy

Change: the server of the shared part is asked first; a random other one only when prompts wait there or it does not report.

--- a/src/common/forwarding/loaded-server.ts
+++ b/src/common/forwarding/loaded-server.ts
@@ -18,28 +18,29 @@
 export type LoadedServer = Required<ServerChoice>;
 
 /**
-Chooses a backend server by current load reports: the one that keeps the shared part of the prompt, or a
-random other one when that has fewer prompts to process. Hosts do not see each other's requests in flight, and two hosts
-that ask different pairs of servers seldom choose the same one.
+Chooses a backend server by current load reports: the one that keeps the shared part of the prompt, or a random other one when
+the first has prompts to process and the other has fewer. Hosts do not see each other's requests in flight, and two hosts that
+ask different servers seldom choose the same one.
 
 @returns undefined when no server reports in time; then none would probably answer a request in time either.
 */
 export async function chooseLoadedServer(services: ForwardServices, admitted: AdmittedRequest): Promise<LoadedServer | undefined> {
-	const {clock, placement, port, zone, random} = services;
+	const {clock, placement, zone, random} = services;
 	const {affinityKey, records} = serverCandidates(services, admitted);
 	const now = clock.now();
 	const first = placement.choose({affinityKey, zone}, records, now);
+	const preferred = first && await withLoad(services, admitted, first);
+	if (preferred?.load.waiting === 0) {
+		return preferred;
+	}
+
 	const others = records.filter(record => record !== first && record.health.isAvailable(now) && record.overloadedUntil <= now);
 	const second = others[Math.floor(random() * others.length)];
-	const candidates = [first, second].filter(record => record !== undefined);
-	const loads = await Promise.all(candidates.map(async record => port.readLoad(backendTarget(services, admitted.service, record.server), reportTimeoutMs)));
-	let best: LoadedServer | undefined;
-	for (const [index, record] of candidates.entries()) {
-		const load = loads[index];
-		if (load && (!best || load.waiting < best.load.waiting)) {
-			best = {record, load};
-		}
-	}
+	const other = second && await withLoad(services, admitted, second);
+	return other && (!preferred || other.load.waiting < preferred.load.waiting) ? other : preferred;
+}
 
-	return best;
+async function withLoad(services: ForwardServices, {service}: AdmittedRequest, record: ServerRecord): Promise<LoadedServer | undefined> {
+	const load = await services.port.readLoad(backendTarget(services, service, record.server), reportTimeoutMs);
+	return load && {record, load};
 }
