--- /dev/null
+++ b/src/common/forwarding/answer-delivery.ts
@@ -0,0 +1,75 @@
+import {type Clock} from '../base/clock.js';
+import {type Disposable} from '../base/disposable.js';
+import {AnswerRelay, type AnswerProblem} from './answer-relay.js';
+import {type Attempt} from './attempt.js';
+import {type CallerSink} from './caller-sink.js';
+import {type AnswerHead} from './forward-request.js';
+import {repetition, type Route} from './routing-config.js';
+import {StallWatch} from './stall-watch.js';
+import {headTimeoutMs, pauseTimeoutMs} from './stall-timeouts.js';
+
+/** Relays the answers of a request to its caller and detects that a server has gone silent. */
+export class AnswerDelivery implements Disposable {
+	private readonly _relay: AnswerRelay;
+	private readonly _stallWatch: StallWatch;
+
+	constructor(
+		clock: Clock,
+		sink: CallerSink,
+		private readonly _route: Route,
+		resumeAfter: number | undefined,
+		/** Called when the server in use has been silent for too long; undefined when no other server may be asked. */
+		private readonly _onStall: (() => void) | undefined,
+	) {
+		this._relay = new AnswerRelay(sink, _route.repetition === repetition.stream, resumeAfter);
+		this._stallWatch = new StallWatch(clock, () => {
+			_onStall?.();
+		});
+	}
+
+	/** ID of the last event that the caller has received; undefined before the first one. */
+	get lastEventId(): number | undefined {
+		return this._relay.lastEventId;
+	}
+
+	/** Waits for the head of an answer; without a timeout when another one limits the wait. */
+	awaitHead(hasTimeout: boolean): void {
+		this._stallWatch.watch(hasTimeout && this._onStall ? headTimeoutMs(this._route) : 0);
+	}
+
+	/** Begins to relay an answer. */
+	begin(head: AnswerHead): void {
+		this._stallWatch.watch(this._onStall ? pauseTimeoutMs(this._route) : 0);
+		this._relay.begin(head);
+	}
+
+	/** Relays a chunk. @returns whether to continue reading, or that the answer is too long to be buffered. */
+	push(attempt: Attempt, chunk: Uint8Array): boolean | 'too-long' {
+		this._stallWatch.touch();
+		const result = this._relay.push(attempt, chunk);
+		if (!result) {
+			this._stallWatch.suspend();
+		}
+
+		return result;
+	}
+
+	/** Called when the caller reads again. */
+	resume(): void {
+		this._stallWatch.resume();
+	}
+
+	/** Returns why an ended answer is incomplete; undefined when it is complete. */
+	problemOf(attempt: Attempt): AnswerProblem | 'no-answer' | undefined {
+		return attempt.head ? this._relay.problemOf(attempt, attempt.head) : 'no-answer';
+	}
+
+	/** Ends a complete answer. @returns whether the caller can see that it is complete. */
+	end(attempt: Attempt): boolean {
+		return this._relay.end(attempt, attempt.head!);
+	}
+
+	dispose(): void {
+		this._stallWatch.dispose();
+	}
+}
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -1,5 +1,5 @@
 import {type Disposable} from '../base/disposable.js';
-import {AnswerRelay} from './answer-relay.js';
+import {AnswerDelivery} from './answer-delivery.js';
 import {Attempt} from './attempt.js';
 import {type AttemptEvents, type AttemptFailure} from './backend-port.js';
 import {type CallerSink} from './caller-sink.js';
@@ -11,13 +11,11 @@
 import {type AdmittedRequest} from './forwarder.js';
 import {mayHaveRunRefusal, notRunRefusal, timeoutReason} from './router-refusals.js';
 import {guardedEvents} from './guarded-events.js';
+import {headVerdict, isSuccess, judgeHead} from './head-verdict.js';
 import {RequestModel} from './request-model.js';
 import {RequestAttempts} from './request-attempts.js';
 import {type ServerChoice} from './loaded-server.js';
-import {headTimeoutMs, pauseTimeoutMs} from './stall-timeouts.js';
-import {StallWatch} from './stall-watch.js';
 import {reportRequest} from './request-report.js';
-import {repetition} from './routing-config.js';
 
 /** Forwards one request from its admission to its final answer: attempts, retries, escalation, resumption and timeout. */
 export class ForwardRun implements EscalatingRequest {
@@ -25,9 +23,8 @@
 	readonly deadlineAt: number;
 	readonly model: RequestModel;
 	private readonly _escalation: Escalation;
-	private readonly _relay: AnswerRelay;
+	private readonly _delivery: AnswerDelivery;
 	private readonly _attempts: RequestAttempts;
-	private readonly _stallWatch: StallWatch;
 	/** Description of each attempt, for the log. */
 	private readonly _trail: string[] = [];
 	private _mayHaveRun = false;
@@ -45,12 +42,13 @@
 		this.startedAt = arrivedAt;
 		this.deadlineAt = this.startedAt + Math.min(req.deadlineMs ?? Infinity, route.timeoutMs);
 		this._attempts = new RequestAttempts(_services, _admitted, this.deadlineAt);
-		this._relay = new AnswerRelay(_sink, route.repetition === repetition.stream, req.resumeAfter);
+		this._delivery = new AnswerDelivery(_services.clock, _sink, route, req.resumeAfter, this._attempts.isRepeatable
+			? () => {
+				this._onStall();
+			}
+			: undefined);
 		this.model = new RequestModel(_services, _admitted, this.startedAt, this.deadlineAt);
 		this._escalation = new Escalation(_services, _admitted, this);
-		this._stallWatch = new StallWatch(_services.clock, () => {
-			this._onStall();
-		});
 	}
 
 	private get _remainingMs(): number {
@@ -68,7 +66,7 @@
 		};
 
 		this._sink.onDrain = () => {
-			this._stallWatch.resume();
+			this._delivery.resume();
 			this._current?.handle?.resume();
 		};
 
@@ -88,9 +86,9 @@
 		this._attempts.add(record.key);
 		recordSession(this._services, this._admitted, record);
 		// A held answer has a timeout of its own.
-		this._stallWatch.watch(this._attempts.isRepeatable && !this._escalation.isHolding ? headTimeoutMs(this._admitted.route) : 0);
+		this._delivery.awaitHead(!this._escalation.isHolding);
 		attempt.handle = port.send(this._admitted.req.message, attemptTerms(this._services, this._admitted, record, {
-			remainingMs: this._remainingMs, model: attempt.model, resumeAfter: this._relay.lastEventId, isEscalated: this.model.isEscalated,
+			remainingMs: this._remainingMs, model: attempt.model, resumeAfter: this._delivery.lastEventId, isEscalated: this.model.isEscalated,
 		}), this._eventsOf(attempt));
 	}
 
@@ -106,7 +104,7 @@
 		}
 
 		this._current = earlier;
-		this._beginAnswer(earlier.head!);
+		this._delivery.begin(earlier.head!);
 		for (const chunk of earlier.takeBuffered()) {
 			this._onData(earlier, chunk);
 		}
@@ -155,50 +153,43 @@
 	private _onHead(attempt: Attempt, head: AnswerHead): void {
 		attempt.head = head;
 		attempt.headAt = this._services.clock.now();
-		if (!head.isForRequest) {
-			this._fail(attempt, 'answer-of-another-request');
+		const verdict = judgeHead(head, this._sink.isStarted);
+		if (verdict === headVerdict.foreign) {
+			this._fail(attempt, verdict);
 			return;
 		}
 
-		if (head.isNotRun || head.isOtherServer) {
+		if (verdict === headVerdict.refused) {
 			this._onRefused(attempt, head);
 			return;
 		}
 
 		this._mayHaveRun = true;
-		const isFailed = head.status >= 500;
-		this._observe(attempt, isFailed);
-		const isSuccess = head.status >= 200 && head.status < 300;
-		if (!isSuccess && this._escalation.isHolding) {
+		this._observe(attempt, verdict === headVerdict.failed);
+		if (!isSuccess(head) && this._escalation.isHolding) {
 			this.abandon(attempt, `status-${head.status}`);
 			this._escalation.deliver();
 			return;
 		}
 
-		if (isFailed && this._attempts.isRepeatable && this.takeRetry()) {
+		if (verdict === headVerdict.failed && this._attempts.isRepeatable && this.takeRetry()) {
 			this.abandon(attempt, `status-${head.status}`);
 			this._attempt();
 			return;
 		}
 
-		if ((isSuccess && !head.isSigned) || (this._sink.isStarted && !isSuccess)) {
-			this._fail(attempt, isSuccess ? 'unsigned-answer' : `resumed-${head.status}`);
+		if (verdict === headVerdict.unusable || (verdict === headVerdict.failed && this._sink.isStarted)) {
+			this._fail(attempt, isSuccess(head) ? 'unsigned-answer' : `resumed-${head.status}`);
 			return;
 		}
 
-		const mayAskAgain = isSuccess && !this._sink.isStarted && this._attempts.mayRunAgain;
-		if (mayAskAgain && this._escalation.isUseful(attempt)) {
+		if (isSuccess(head) && !this._sink.isStarted && this._attempts.mayRunAgain && this._escalation.isUseful(attempt)) {
 			void this._escalation.start(attempt);
 			return;
 		}
 
 		this._escalation.drop('escalated');
-		this._beginAnswer(head);
-	}
-
-	private _beginAnswer(head: AnswerHead): void {
-		this._stallWatch.watch(this._attempts.isRepeatable ? pauseTimeoutMs(this._admitted.route) : 0);
-		this._relay.begin(head);
+		this._delivery.begin(head);
 	}
 
 	/** Asks another backend server when the current one has sent nothing for too long. Without a retry, the request waits on. */
@@ -233,17 +224,12 @@
 			return true;
 		}
 
-		this._stallWatch.touch();
-		const result = this._relay.push(attempt, chunk);
+		const result = this._delivery.push(attempt, chunk);
 		if (result === 'too-long') {
 			this._fail(attempt, 'answer-too-long');
 			return true;
 		}
 
-		if (!result) {
-			this._stallWatch.suspend();
-		}
-
 		return result;
 	}
 
@@ -254,17 +240,16 @@
 			return;
 		}
 
-		const {head} = attempt;
-		const problem = head ? this._relay.problemOf(attempt, head) : 'no-answer';
-		if (!head || problem) {
-			this._fail(attempt, problem ?? 'no-answer');
+		const problem = this._delivery.problemOf(attempt);
+		if (problem) {
+			this._fail(attempt, problem);
 			return;
 		}
 
 		this.model.recordEnd(attempt);
-		this._trail.push(attempt.describe(String(head.status)));
+		this._trail.push(attempt.describe(String(attempt.head!.status)));
 		attempt.finish();
-		this._finish(this._relay.end(attempt, head) ? 'answered' : 'unframed-end');
+		this._finish(this._delivery.end(attempt) ? 'answered' : 'unframed-end');
 	}
 
 	private _onFailure(attempt: Attempt, {isUnsent, reason}: AttemptFailure): void {
@@ -372,7 +357,7 @@
 
 		this._isFinished = true;
 		this._timer?.dispose();
-		this._stallWatch.dispose();
+		this._delivery.dispose();
 		reportRequest(this._services, this._admitted, {
 			startedAt: this.startedAt, attempts: this._attempts.count, trail: this._trail, outcome,
 		});
