--- a/src/common/forwarding/attempt-terms.ts
+++ b/src/common/forwarding/attempt-terms.ts
@@ -1,5 +1,3 @@
-import {type BackendServer} from '../control/backend-server.js';
-import {type BackendTarget} from './backend-port.js';
 import {type AttemptTerms} from './forward-request.js';
 import {type AdmittedRequest} from './forwarder.js';
 import {type ForwardServices} from './forward-services.js';
@@ -24,8 +22,10 @@
 export function attemptTerms(services: ForwardServices, admitted: AdmittedRequest, {server}: ServerRecord, {remainingMs, model, resumeAfter, isEscalated}: AttemptState): AttemptTerms {
 	const {req, route, customer, service} = admitted;
 	return {
-		...backendTarget(services, service, server),
 		requestId: req.id,
+		serverId: server.id,
+		address: server.address,
+		maxConnections: maxConnectionsOf(services, service),
 		remainingMs: Math.max(1, Math.floor(remainingMs)),
 		customer: customer?.name,
 		model: model ?? req.generation?.model,
@@ -35,11 +35,6 @@
 	};
 }
 
-/** Returns the address of a backend server of a service with the connection limit of this host. */
-export function backendTarget(services: ForwardServices, service: string, {id, address}: BackendServer): BackendTarget {
-	return {serverId: id, address, maxConnections: maxConnectionsOf(services, service)};
-}
-
 /** Connection limit of this host to one backend server of a service: its share of the connections that the server accepts. */
 function maxConnectionsOf({state}: ForwardServices, service: string): number {
 	const {table, hostCount} = state();
--- a/src/common/forwarding/backend-port.ts
+++ b/src/common/forwarding/backend-port.ts
@@ -1,5 +1,4 @@
 import {type AnswerHead, type AttemptTerms, type ForwardMessage} from './forward-request.js';
-import {type ServerLoad} from './server-load.js';
 
 /** Why an attempt failed. */
 export interface AttemptFailure {
@@ -24,12 +23,7 @@
 	resume(): void;
 }
 
-/** Address of a backend server, with the maximum number of connections of this host to it. */
-export type BackendTarget = Pick<AttemptTerms, 'serverId' | 'address' | 'maxConnections'>;
-
 /** Sends requests to backend servers. */
 export interface BackendPort {
 	send(message: ForwardMessage, terms: AttemptTerms, events: AttemptEvents): AttemptHandle;
-	/** Resolves to the load that a model engine reports; undefined when it gives no report in time. Never rejects. */
-	readLoad(target: BackendTarget, timeoutMs: number): Promise<ServerLoad | undefined>;
 }
--- a/src/node/http-backend-port.ts
+++ b/src/node/http-backend-port.ts
@@ -2,10 +2,7 @@
 import {buildConnector, type Dispatcher, Pool} from 'undici';
 import {type Disposable} from '../common/base/disposable.js';
 import {type Logger} from '../common/base/logger.js';
-import {
-	type AttemptEvents, type AttemptHandle, type BackendPort, type BackendTarget,
-} from '../common/forwarding/backend-port.js';
-import {type ServerLoad} from '../common/forwarding/server-load.js';
+import {type AttemptEvents, type AttemptHandle, type BackendPort} from '../common/forwarding/backend-port.js';
 import {type AttemptTerms, type ForwardMessage} from '../common/forwarding/forward-request.js';
 import {type BackendCodec} from './backend-codec.js';
 
@@ -49,19 +46,6 @@
 		return attempt;
 	}
 
-	async readLoad(target: BackendTarget, timeoutMs: number): Promise<ServerLoad | undefined> {
-		try {
-			const res = await this._target(target).pool.request({
-				method: 'GET', path: this._codec.loadPath, headersTimeout: timeoutMs, bodyTimeout: timeoutMs, signal: AbortSignal.timeout(timeoutMs),
-			});
-			const body = await res.body.text();
-			return res.statusCode === 200 ? this._codec.decodeLoad(body) : undefined;
-		} catch (error) {
-			this._logger.info({server: target.serverId, err: error}, 'no load report');
-			return undefined;
-		}
-	}
-
 	/** Closes the connections to all other addresses after their requests in flight have ended. */
 	retain(addresses: ReadonlySet<string>): void {
 		for (const [address, {pool}] of this._targets) {
@@ -80,7 +64,7 @@
 		this._targets.clear();
 	}
 
-	private _target({address, maxConnections}: BackendTarget): Target {
+	private _target({address, maxConnections}: AttemptTerms): Target {
 		let target = this._targets.get(address);
 		if (!target) {
 			const closeDelimited = new Set<HttpAttempt>();
--- a/src/testing/scripted-port.ts
+++ b/src/testing/scripted-port.ts
@@ -1,7 +1,4 @@
-import {type ServerLoad} from '../common/forwarding/server-load.js';
-import {
-	type AttemptEvents, type AttemptHandle, type BackendPort, type BackendTarget,
-} from '../common/forwarding/backend-port.js';
+import {type AttemptEvents, type AttemptHandle, type BackendPort} from '../common/forwarding/backend-port.js';
 import {type AnswerHead, type AttemptTerms, type ForwardMessage} from '../common/forwarding/forward-request.js';
 
 /** An attempt that was sent through a `ScriptedPort`. */
@@ -15,16 +12,10 @@
 /** Backend port that leaves the answers to the test. */
 export class ScriptedPort implements BackendPort {
 	readonly attempts: ScriptedAttempt[] = [];
-	/** Load reports by server; a server without one gives no report. */
-	readonly loads = new Map<string, ServerLoad>();
 
 	/** `onAttempt` is called with each attempt and may answer it immediately. */
 	constructor(public onAttempt: ((attempt: ScriptedAttempt, index: number) => void) | undefined = undefined) {}
 
-	async readLoad({serverId}: BackendTarget): Promise<ServerLoad | undefined> {
-		return this.loads.get(serverId);
-	}
-
 	send(message: ForwardMessage, terms: AttemptTerms, events: AttemptEvents): AttemptHandle {
 		const attempt: ScriptedAttempt = {
 			message, terms, events, isAborted: false,
