Predict the larger model from the host's own answers, without load reports

Change: the call, its format, the choice between two servers and the wait for it go. The decision is made when the head of the smaller answer arrives, and only an answer whose larger model was asked is held. Tests: escalation-load, load-aware-cascade (bounds as before), escalation.

--- a/src/common/forwarding/attempt.ts
+++ b/src/common/forwarding/attempt.ts
@@ -1,7 +1,6 @@
 import {type AttemptHandle} from './backend-port.js';
 import {EventSplitter} from './event-splitter.js';
 import {type AnswerHead} from './forward-request.js';
-import {type ServerLoad} from './server-load.js';
 import {type ServerRecord} from './server-pool.js';
 
 /** Largest answer in bytes that is buffered until it is complete, so that a broken one can be retried. */
@@ -20,7 +19,7 @@
 	private _bufferedBytes = 0;
 	private _isFinished = false;
 
-	constructor(readonly record: ServerRecord, readonly model: string | undefined, readonly sentAt: number, readonly load?: ServerLoad) {
+	constructor(readonly record: ServerRecord, readonly model: string | undefined, readonly sentAt: number) {
 		record.inFlight++;
 		record.health.recordSent(sentAt);
 	}
--- a/src/common/forwarding/decayed-line.ts
+++ b/src/common/forwarding/decayed-line.ts
@@ -13,11 +13,6 @@
 	/** `_halfLifeMs` is the time in milliseconds after which a sample counts half. */
 	constructor(private readonly _halfLifeMs: number) {}
 
-	/** Mean x of the samples; undefined before the first one. */
-	get meanX(): number | undefined {
-		return this._count > 0 ? this._x / this._count : undefined;
-	}
-
 	add(x: number, y: number, now: number): void {
 		const factor = 0.5 ** (Math.max(0, now - this._decayedAt) / this._halfLifeMs);
 		this._decayedAt = now;
--- a/src/common/forwarding/escalation.ts
+++ b/src/common/forwarding/escalation.ts
@@ -2,7 +2,6 @@
 import {type Attempt} from './attempt.js';
 import {type AdmittedRequest} from './forwarder.js';
 import {type ForwardServices} from './forward-services.js';
-import {chooseLoadedServer, type LoadedServer} from './loaded-server.js';
 import {type AnswerTimes} from './model-speed.js';
 import {type RequestModel} from './request-model.js';
 
@@ -21,8 +20,8 @@
 	readonly model: RequestModel;
 	/** Takes a retry from the budget. @returns whether another attempt is allowed. */
 	takeRetry(): boolean;
-	/** Sends the request to the larger model. */
-	send(server: LoadedServer): void;
+	/** Sends the request to the larger model, at a server that may have been tried with the smaller one. */
+	askLarger(): void;
 	/** Delivers a held answer; aborts an attempt with the larger model that is in flight. */
 	deliver(held: Attempt): void;
 	/** Aborts an attempt and records its outcome for the log. */
@@ -33,7 +32,7 @@
 
 /**
 Asks a larger model after a doubtful answer of a smaller one. The smaller answer is held back until the larger model answers;
-it is delivered when no server can answer in time, and when the larger model fails or takes too long.
+it is delivered when the larger model fails or takes too long. A larger model that would be late is not asked.
 */
 export class Escalation {
 	private _held: Attempt | undefined;
@@ -50,38 +49,31 @@
 		return attempt === this._held;
 	}
 
-	/** Whether a larger model could improve an answer. */
-	isUseful({model, head}: Attempt): boolean {
-		return !this._held && this._req.model.largerThan(model, head?.confidence) !== undefined;
-	}
-
-	/** Holds an answer back and decides whether to ask a larger model. */
-	async start(held: Attempt): Promise<void> {
-		this._held = held;
-		const confidence = held.head!.confidence!;
-		const server = await chooseLoadedServer(this._services, this._admitted);
-		// The request may have ended in the meantime, or the held answer may have failed.
-		if (this._held !== held) {
-			return;
+	/** Asks a larger model and holds the answer back, if the answer is doubtful and the larger model can answer in time. @returns whether it was asked. */
+	start(attempt: Attempt): boolean {
+		const {model, startedAt, deadlineAt} = this._req;
+		const confidence = attempt.head?.confidence;
+		const larger = model.largerThan(attempt.model, confidence);
+		if (this.isHolding || larger === undefined || confidence === undefined) {
+			return false;
 		}
 
-		const {model, startedAt, deadlineAt} = this._req;
-		const larger = model.largerThan(held.model, confidence)!;
-		const expected = server && model.expected(larger, server.load);
-		const isAsked = expected !== undefined && model.escalates(confidence, expected) && this._req.takeRetry();
-		this._req.note(describeDecision(isAsked, confidence, server, expected));
+		const expected = model.expected(larger);
+		const isAsked = model.escalates(confidence, expected) && this._req.takeRetry();
+		this._req.note(describeDecision(isAsked, confidence, expected));
 		if (!isAsked) {
-			this.deliver();
-			return;
+			return false;
 		}
 
+		this._held = attempt;
 		model.use(larger, true);
 		const {clock} = this._services;
 		const heldUntil = Math.min(startedAt + (this._admitted.route.targetLatencyMs * heldLatencyFactor), deadlineAt - deliveryMarginMs);
 		this._timer = clock.setTimer(heldUntil - clock.now(), () => {
 			this.deliver();
 		});
-		this._req.send(server!);
+		this._req.askLarger();
+		return true;
 	}
 
 	/** Buffers a part of the held answer. An answer that is too long to be buffered is given up. */
@@ -120,9 +112,6 @@
 }
 
 /** Describes for the log whether a larger model is asked, and the inputs of the decision. */
-function describeDecision(isAsked: boolean, confidence: number, server: LoadedServer | undefined, expected: AnswerTimes | undefined): string {
-	const inputs = server && expected
-		? `${server.record.server.id}:waiting-${server.load.waiting}:first-${Math.round(expected.firstEventMs)}ms:last-${Math.round(expected.lastEventMs)}ms`
-		: 'no-load-report';
-	return `${isAsked ? 'larger-asked' : 'kept'}-at-${confidence}:${inputs}`;
+function describeDecision(isAsked: boolean, confidence: number, {firstEventMs, lastEventMs}: AnswerTimes): string {
+	return `${isAsked ? 'larger-asked' : 'kept'}-at-${confidence}:first-${Math.round(firstEventMs)}ms:last-${Math.round(lastEventMs)}ms`;
 }
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -4,7 +4,7 @@
 import {type AttemptEvents, type AttemptFailure} from './backend-port.js';
 import {type CallerSink} from './caller-sink.js';
 import {attemptTerms} from './attempt-terms.js';
-import {chooseServer, recordSession} from './choose-server.js';
+import {chooseServer} from './choose-server.js';
 import {type EscalatingRequest, Escalation} from './escalation.js';
 import {type AnswerHead} from './forward-request.js';
 import {type ForwardServices} from './forward-services.js';
@@ -14,7 +14,7 @@
 import {headVerdict, isSuccess, judgeHead} from './head-verdict.js';
 import {RequestModel} from './request-model.js';
 import {RequestAttempts} from './request-attempts.js';
-import {type ServerChoice} from './loaded-server.js';
+import {type ServerRecord} from './server-pool.js';
 import {reportRequest} from './request-report.js';
 
 /** Forwards one request from its admission to its final answer: attempts, retries, escalation, resumption and timeout. */
@@ -73,23 +73,8 @@
 		this._attempt();
 	}
 
-	send({record, load}: ServerChoice): void {
-		const {clock, lease, port} = this._services;
-		// Checks the lease as late as possible: it may have expired since the request was admitted.
-		if (!lease.isValid()) {
-			this._endWithoutAnswer('lease-expired');
-			return;
-		}
-
-		const attempt = new Attempt(record, this.model.name, clock.now(), load);
-		this._current = attempt;
-		this._attempts.add(record.key);
-		recordSession(this._services, this._admitted, record);
-		// A held answer has a timeout of its own.
-		this._delivery.awaitHead(!this._escalation.isHolding);
-		attempt.handle = port.send(this._admitted.req.message, attemptTerms(this._services, this._admitted, record, {
-			remainingMs: this._remainingMs, model: attempt.model, resumeAfter: this._delivery.lastEventId, isEscalated: this.model.isEscalated,
-		}), this._eventsOf(attempt));
+	askLarger(): void {
+		this._sendToBest(new Set());
 	}
 
 	takeRetry(): boolean {
@@ -126,14 +111,37 @@
 
 	/** Sends the request to the best untried backend server. */
 	private _attempt(): void {
-		const record = chooseServer(this._services, this._admitted, this._attempts.tried);
+		this._sendToBest(this._attempts.tried);
+	}
+
+	/** Sends the request to the best backend server, except the given ones. */
+	private _sendToBest(excluded: ReadonlySet<string>): void {
+		const record = chooseServer(this._services, this._admitted, excluded);
 		if (record) {
-			this.send({record});
+			this._send(record);
 		} else {
 			this._endWithoutAnswer('no-server');
 		}
 	}
 
+	private _send(record: ServerRecord): void {
+		const {clock, lease, port} = this._services;
+		// Checks the lease as late as possible: it may have expired since the request was admitted.
+		if (!lease.isValid()) {
+			this._endWithoutAnswer('lease-expired');
+			return;
+		}
+
+		const attempt = new Attempt(record, this.model.name, clock.now());
+		this._current = attempt;
+		this._attempts.add(record.key);
+		// A held answer has a timeout of its own.
+		this._delivery.awaitHead(!this._escalation.isHolding);
+		attempt.handle = port.send(this._admitted.req.message, attemptTerms(this._services, this._admitted, record, {
+			remainingMs: this._remainingMs, model: attempt.model, resumeAfter: this._delivery.lastEventId, isEscalated: this.model.isEscalated,
+		}), this._eventsOf(attempt));
+	}
+
 	/** Returns the handlers for the events of an attempt; they ignore events after the attempt or the request has finished. */
 	private _eventsOf(attempt: Attempt): AttemptEvents {
 		return guardedEvents(() => !attempt.isFinished && !this._isFinished, {
@@ -183,8 +191,7 @@
 			return;
 		}
 
-		if (isSuccess(head) && !this._sink.isStarted && this._attempts.mayRunAgain && this._escalation.isUseful(attempt)) {
-			void this._escalation.start(attempt);
+		if (isSuccess(head) && !this._sink.isStarted && this._attempts.mayRunAgain && this._escalation.start(attempt)) {
 			return;
 		}
 
--- a/src/common/forwarding/load-aware-cascade.ts
+++ b/src/common/forwarding/load-aware-cascade.ts
@@ -34,7 +34,9 @@
 	}
 
 	escalates({route, elapsedMs, remainingMs}: ModelContext, confidence: number, {firstEventMs, lastEventMs}: AnswerTimes): boolean {
-		const load = Math.max(firstEventMs / Math.max(1, route.targetLatencyMs - elapsedMs), lastEventMs / Math.max(1, remainingMs)) * this._margin * (1 + (route.priority * urgencyStep));
+		// The wait of this request reflects the engines' queue earlier than the answers of the largest model do.
+		const expectedMs = Math.max(firstEventMs, elapsedMs);
+		const load = Math.max(expectedMs / Math.max(1, route.targetLatencyMs - elapsedMs), lastEventMs / Math.max(1, remainingMs)) * this._margin * (1 + (route.priority * urgencyStep));
 		const thresholdFactor = Math.min(1, Math.max(0, (1 - load) / (1 - fullEscalationLoad)));
 		return confidence < this._threshold * thresholdFactor;
 	}
--- a/src/testing/engine-queue.ts
+++ b/src/testing/engine-queue.ts
@@ -1,8 +1,5 @@
 import {TimerHeap} from './timer-heap.js';
 
-/** Time in milliseconds by which a report of an engine is older than its arrival. */
-const reportLagMs = 200;
-
 /** Discrete-event clock of a load simulation. */
 export class SimulationTime {
 	now = 0;
@@ -26,20 +23,10 @@
 export class EngineQueue {
 	private readonly _urgent: Array<() => void> = [];
 	private readonly _other: Array<() => void> = [];
-	private readonly _history: Array<{at: number; waiting: number}> = [{at: 0, waiting: 0}];
 	private _isBusy = false;
 
 	constructor(private readonly _time: SimulationTime) {}
 
-	/** Number of prompts that are not yet processed, as a report states it. */
-	get reportedWaiting(): number {
-		while (this._history.length > 1 && this._history[1]!.at <= this._time.now - reportLagMs) {
-			this._history.shift();
-		}
-
-		return this._history[0]!.waiting;
-	}
-
 	/** Processes a prompt for the given time, then calls back. */
 	process(durationMs: number, isUrgent: boolean, onDone: () => void): void {
 		(isUrgent ? this._urgent : this._other).push(() => {
@@ -60,7 +47,5 @@
 				start();
 			}
 		}
-
-		this._history.push({at: this._time.now, waiting: this._urgent.length + this._other.length + (this._isBusy ? 1 : 0)});
 	}
 }
--- a/src/testing/escalation-simulation.ts
+++ b/src/testing/escalation-simulation.ts
@@ -39,21 +39,21 @@
 /** Price of an answer of each model, relative to the credit of a good one in time. */
 const price = {small: 0.01, large: 0.12} as const;
 
-/** Decides whether the largest model is asked at a server with the given number of waiting prompts. */
-export type Decide = (host: ModelSpeed, confidence: number, tokens: number, waiting: number, elapsedMs: number, now: number) => boolean;
+/** Decides whether the largest model is asked, with what a host knows about its speed. */
+export type Decide = (speed: ModelSpeed, confidence: number, tokens: number, elapsedMs: number, now: number) => boolean;
 
 const cascade = new LoadAwareCascade(55, 1);
 /** Decides as `LoadAwareCascade` does. */
-export const loadAware: Decide = (speed, confidence, tokens, waiting, elapsedMs, now) => {
+export const loadAware: Decide = (speed, confidence, tokens, elapsedMs, now) => {
 	const generation = generationOf(tokens);
 	const context = {
 		route, generation, elapsedMs, remainingMs: timeoutMs - elapsedMs,
 	};
-	return cascade.larger(context, 'small', confidence) !== undefined && cascade.escalates(context, confidence, speed.expected(generation, {generating: 0, waiting}, now));
+	return cascade.larger(context, 'small', confidence) !== undefined && cascade.escalates(context, confidence, speed.expected(generation, now));
 };
 
 /** Decides by the confidence alone. */
-export const fixed = (threshold: number): Decide => (_host, confidence) => confidence < threshold;
+export const fixed = (threshold: number): Decide => (_speed, confidence) => confidence < threshold;
 export const fixedThresholds = [0, 15, 30, 55, 101];
 
 function generationOf(inputTokens: number) {
@@ -91,17 +91,15 @@
 
 		const first = pick();
 		engines[first]!.process(duration(first, deployment.smallMs, tokens), true, () => {
-			const [one, other] = [pick(), pick()];
-			const server = engines[one]!.reportedWaiting === 0 || engines[one]!.reportedWaiting <= engines[other]!.reportedWaiting ? one : other;
-			const waiting = engines[server]!.reportedWaiting;
+			const server = pick();
 			const sentAt = time.now;
-			if (!decide(speed, confidence, tokens, waiting, time.now - startedAt, time.now)) {
+			if (!decide(speed, confidence, tokens, time.now - startedAt, time.now)) {
 				finish(isGood ? 1 : poorCredit, price.small);
 				return;
 			}
 
 			engines[server]!.process(duration(server, deployment.largeMs, tokens), false, () => {
-				speed.recordFirstEvent(generationOf(tokens), {generating: 0, waiting}, time.now - sentAt, time.now);
+				speed.recordFirstEvent(generationOf(tokens), time.now - sentAt, time.now);
 				finish(1, price.small + price.large);
 			});
 		});
