--- a/src/common/forwarding/escalation.test.ts
+++ b/src/common/forwarding/escalation.test.ts
@@ -94,3 +94,20 @@
 	sink.onDisconnect?.();
 	expect([small.isAborted, large!.isAborted]).toEqual([true, true]);
 });
+
+// Guards against a stream with duplicate events: the timeout for the head of the smaller answer must not start another attempt
+// while that answer is held back and the larger model is asked.
+it('does not take a held answer for a stalled one', async () => {
+	const {clock, port, send} = createForwarderFixture('stream', {models: ['small', 'middle', 'large'], targetLatencyMs: targetMs, timeoutMs: 5000});
+	const sink = send({generation, deadlineMs: 5000});
+	await clock.advance(targetMs * 0.2);
+	port.attempts[0]!.events.onHead(answerHead({confidence: 0}));
+	await clock.advance(targetMs);
+	expect(port.attempts.map(({terms, isAborted}) => [terms.model, isAborted])).toEqual([['small', false], ['large', false]]);
+	for (const {events} of [...port.attempts].reverse()) {
+		events.onHead(answerHead({confidence: 90}));
+		events.onData(encoder.encode('id: 1\ndata: x\n\n'));
+	}
+
+	expect(sink.text).toBe('id: 1\ndata: x\n\n');
+});
