Take the retention of failed ratings from the cap on unrated answers

Cause: the 15 minutes after which a failed rating is given up stood a second time beside the setting of the cap that they follow. Change: BackgroundRatings reads the cap's setting. Same value, no change of behaviour. Checked: type check, lint of the file, layers, lost-ratings and evidence tests (22 passed).

--- a/src/common/entry/background-ratings.ts
+++ b/src/common/entry/background-ratings.ts
@@ -2,13 +2,12 @@
 import {type Counters} from '../base/counters.js';
 import {type Disposable} from '../base/disposable.js';
 import {sleep} from '../base/sleep.js';
+import {defaultUnratedCapSettings} from '../evidence/unrated-cap.js';
 import {type RatingClient, type RatingRequest} from '../routing/rating-client.js';
 
 /** Delay in milliseconds before the first retry; doubled at each further one up to the maximum. */
 const firstRetryMs = 1000;
 const maxRetryMs = 30_000;
-/** Time in milliseconds after which a rating is given up; the same as the time for which an unrated answer counts towards the cap of a new version. */
-const giveUpMs = 900_000;
 /** Maximum number of answers that wait for a retry; further failed ratings are given up at once. */
 const maxWaiting = 256;
 
@@ -25,7 +24,8 @@
 	/** Rating in [0, 1]; undefined when it was given up. */
 	async rate(req: RatingRequest): Promise<number | undefined> {
 		const {signal} = this._abort;
-		const endsAt = this._clock.now() + giveUpMs;
+		// Afterwards the answer no longer counts towards the cap.
+		const endsAt = this._clock.now() + defaultUnratedCapSettings.ratingTimeoutMs;
 		for (let delayMs = firstRetryMs; ; delayMs = Math.min(maxRetryMs, delayMs * 2)) {
 			try {
 				return await this._client.rate(req, signal); // eslint-disable-line no-await-in-loop -- one try at a time
