Log the body times of answers and each judgement of a release

Cause: the log could not tell a release whose answers are slow after the head from one whose faults need load; the time of a body was nowhere, and a judgement was logged with a step only. Change: a trail has the time from the first to the last part of an answer; the leader logs one line a second for a roll-out in progress. No decision changes.

--- a/src/common/forwarding/attempt.ts
+++ b/src/common/forwarding/attempt.ts
@@ -1,3 +1,4 @@
+import {AnswerPace} from './answer-pace.js';
 import {type AttemptHandle} from './backend-port.js';
 import {EventSplitter} from './event-splitter.js';
 import {type AnswerHead} from './forward-request.js';
@@ -15,6 +16,7 @@
 	/** Whether the answer ended while it was held back. */
 	hasEnded = false;
 	readonly splitter = new EventSplitter();
+	readonly pace = new AnswerPace();
 	private readonly _bufferedChunks: Uint8Array[] = [];
 	private _bufferedBytes = 0;
 	private _isFinished = false;
@@ -70,9 +72,10 @@
 		this.handle?.abort();
 	}
 
-	/** Describes the attempt for the log: server, model, outcome and time to the head of the answer. */
+	/** Describes the attempt for the log: server, model, outcome, time to the head of the answer, time from its first to its last chunk. */
 	describe(outcome: string): string {
 		const headMs = this.headAt === undefined ? 'no-head' : `${Math.round(this.headAt - this.sentAt)}ms`;
-		return [this.record.server.id, this.model, outcome, headMs].filter(part => part !== undefined).join(':');
+		const bodyMs = this.pace.bodyMs === undefined ? undefined : `body-${Math.round(this.pace.bodyMs)}ms`;
+		return [this.record.server.id, this.model, outcome, headMs, bodyMs].filter(part => part !== undefined).join(':');
 	}
 }
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -148,7 +148,10 @@
 			onHead: head => {
 				this._onHead(attempt, head);
 			},
-			onData: chunk => this._onData(attempt, chunk),
+			onData: chunk => {
+				attempt.pace.record(this._services.clock.now(), chunk.length);
+				return this._onData(attempt, chunk);
+			},
 			onEnd: () => {
 				this._onEnd(attempt);
 			},
--- a/src/common/release/release-supervisor.ts
+++ b/src/common/release/release-supervisor.ts
@@ -10,7 +10,7 @@
 import {PeriodicSweep} from '../control/periodic-sweep.js';
 import {serviceRolloutState, type ServiceRollout, type ServiceRolloutState} from '../control/service-rollout.js';
 import {type ReleaseCounts, releaseSection} from './release-evidence.js';
-import {judgeRelease, releaseVerdict} from './release-verdict.js';
+import {type JudgedRelease, judgeRelease, releaseVerdict} from './release-verdict.js';
 
 /** Dependencies of `ReleaseSupervisor`. */
 export interface ReleaseSupervisorOptions {
@@ -37,6 +37,8 @@
 /** Fraction of the duration from which a release without enough evidence is reverted. */
 const revertFrom = 0.93;
 const sweepIntervalMs = 200;
+/** Minimum time in milliseconds between two log lines on releases in progress. */
+const logIntervalMs = 1000;
 
 /** Returns the share of the stage that begins at a fraction of the duration. */
 function stageShareFrom(fraction: number): number {
@@ -49,6 +51,7 @@
 	private readonly _rows = new Map<string, ReleaseCounts>();
 	private readonly _sweep: PeriodicSweep;
 	private _isProposing = false;
+	private _loggedAt = -Infinity;
 
 	constructor(private readonly _options: ReleaseSupervisorOptions) {
 		this._sweep = new PeriodicSweep(_options.clock, sweepIntervalMs, () => {
@@ -99,6 +102,9 @@
 		const evidence = `${reason}; ${failures} of ${answers} failed`;
 		const elapsedMs = clock.wallTime() - startedAt;
 		const fraction = elapsedMs / durationMs;
+		this._log(rollout, elapsedMs, {
+			verdict, reason, answers, failures,
+		});
 		const hasTarget = [...state.backendServers.values()].some(({services, release, isDraining}) => release === target && !isDraining && services.includes(service));
 		if (verdict === releaseVerdict.bad) {
 			this._step(rollout, serviceRolloutState.reverted, 0, evidence);
@@ -122,6 +128,17 @@
 		}
 	}
 
+	/** Logs the current judgement, at most once in `logIntervalMs`. */
+	private _log({service, target, share}: ServiceRollout, elapsedMs: number, {verdict, reason, answers, failures}: JudgedRelease): void {
+		const {clock, logger} = this._options;
+		if (clock.now() - this._loggedAt >= logIntervalMs) {
+			this._loggedAt = clock.now();
+			logger.info({
+				service, target, elapsedMs: Math.round(elapsedMs), share, verdict, reason, answers, failures,
+			}, 'release judged');
+		}
+	}
+
 	private _step({service, target}: ServiceRollout, state: ServiceRolloutState, share: number, reason: string): void {
 		this._isProposing = true;
 		void this._propose({
