Judge releases under equal load by what callers see, within the exposure limit

Cause, one class: a decision by evidence that cannot show the fault. The first stage spread 12 % of the sessions over all new servers, so each had an eighth of the usual load; a good release looked 3 to 15 times faster than the previous one and a slow one normal. Evidence ended at the head of an answer, and the comparison of mean logarithms with a bound of 3 cannot reject a release of which half of the answers take 8 times as long (square root of 8). The share then grew by time alone, without the exposure limit. Change: attempts are evidence on release, route and model: failures, broken answers, time to the head (also of attempts given up), pace of the body. ReleaseJudge compares shares of slow answers with a cumulative sum, against answers since the trial began. In the trial few servers get the load of a previous server each. The schedule starts trial and move as late as the exposure limit (now a setting of the control host) requires, and completes 0.6 s before the end. The renewal section has a new name, so hosts of both builds ignore each other's counts. The older cases of supervisor, judge, recorder and sticky sessions run as before on the new interface.

--- a/src/common/forwarding/attempt.ts
+++ b/src/common/forwarding/attempt.ts
@@ -1,4 +1,4 @@
-import {AnswerPace} from './answer-pace.js';
+import {type AttemptEvidence} from './attempt-evidence.js';
 import {type AttemptHandle} from './backend-port.js';
 import {EventSplitter} from './event-splitter.js';
 import {type AnswerHead} from './forward-request.js';
@@ -16,12 +16,11 @@
 	/** Whether the answer ended while it was held back. */
 	hasEnded = false;
 	readonly splitter = new EventSplitter();
-	readonly pace = new AnswerPace();
 	private readonly _bufferedChunks: Uint8Array[] = [];
 	private _bufferedBytes = 0;
 	private _isFinished = false;
 
-	constructor(readonly record: ServerRecord, readonly model: string | undefined, readonly sentAt: number) {
+	constructor(readonly record: ServerRecord, readonly model: string | undefined, readonly sentAt: number, readonly evidence: AttemptEvidence) {
 		record.inFlight++;
 		record.health.recordSent(sentAt);
 	}
@@ -63,6 +62,7 @@
 		if (!this._isFinished) {
 			this._isFinished = true;
 			this.record.inFlight--;
+			this.evidence.finish();
 		}
 	}
 
@@ -75,7 +75,8 @@
 	/** Describes the attempt for the log: server, model, outcome, time to the head of the answer, time from its first to its last chunk. */
 	describe(outcome: string): string {
 		const headMs = this.headAt === undefined ? 'no-head' : `${Math.round(this.headAt - this.sentAt)}ms`;
-		const bodyMs = this.pace.bodyMs === undefined ? undefined : `body-${Math.round(this.pace.bodyMs)}ms`;
-		return [this.record.server.id, this.model, outcome, headMs, bodyMs].filter(part => part !== undefined).join(':');
+		const {bodyMs} = this.evidence;
+		const body = bodyMs === undefined ? undefined : `body-${Math.round(bodyMs)}ms`;
+		return [this.record.server.id, this.model, outcome, headMs, body].filter(part => part !== undefined).join(':');
 	}
 }
--- a/src/common/forwarding/choose-server.ts
+++ b/src/common/forwarding/choose-server.ts
@@ -8,7 +8,8 @@
 	const parts = req.generation?.parts ?? [];
 	const rollout = state().rollouts.get(service);
 	const session = {key: req.session ?? parts.at(-1)?.id ?? req.id, isSticky: req.session !== undefined && sessions.isSticky(req.session)};
-	const candidates = serversForRelease(rollout, session, pool.notDraining(service)).filter(({key}) => !tried.has(key));
+	const untried = pool.notDraining(service).filter(({key}) => !tried.has(key));
+	const candidates = serversForRelease(rollout, session, untried, clock.now());
 	// The last part belongs to this request alone. The part before it stands for the longest prefix shared with other requests.
 	const affinityKey = parts.at(-2)?.id ?? parts[0]?.id;
 	const record = placement.choose({affinityKey, zone}, candidates, clock.now());
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -1,6 +1,7 @@
 import {type Disposable} from '../base/disposable.js';
 import {AnswerDelivery} from './answer-delivery.js';
 import {Attempt} from './attempt.js';
+import {AttemptEvidence} from './attempt-evidence.js';
 import {type AttemptEvents, type AttemptFailure} from './backend-port.js';
 import {type CallerSink} from './caller-sink.js';
 import {attemptTerms} from './attempt-terms.js';
@@ -85,6 +86,7 @@
 	deliver(earlier: Attempt): void {
 		if (this._current && this._current !== earlier && !this._current.isFinished) {
 			this.model.recordFirstEvent(this._current);
+			this._current.evidence.recordSilence(this._services.clock.now());
 			this.abandon(this._current, 'slower-than-held');
 		}
 
@@ -125,14 +127,20 @@
 	}
 
 	private _send(record: ServerRecord): void {
-		const {clock, lease, port} = this._services;
+		const {
+			clock, lease, port, observer,
+		} = this._services;
 		// Checks the lease as late as possible: it may have expired since the request was admitted.
 		if (!lease.isValid()) {
 			this._endWithoutAnswer('lease-expired');
 			return;
 		}
 
-		const attempt = new Attempt(record, this.model.name, clock.now());
+		const {service, route, req} = this._admitted;
+		const now = clock.now();
+		const attempt = new Attempt(record, this.model.name, now, new AttemptEvidence(observer, {
+			service, route: route.name, record, model: this.model.name ?? req.generation?.model,
+		}, now));
 		this._current = attempt;
 		this._attempts.add(record.key);
 		// A held answer has a timeout of its own.
@@ -149,7 +157,7 @@
 				this._onHead(attempt, head);
 			},
 			onData: chunk => {
-				attempt.pace.record(this._services.clock.now(), chunk.length);
+				attempt.evidence.recordChunk(this._services.clock.now(), chunk.length);
 				return this._onData(attempt, chunk);
 			},
 			onEnd: () => {
@@ -210,22 +218,19 @@
 		}
 
 		this._mayHaveRun = true;
-		attempt.recordResult(true, this._services.clock.now());
+		const now = this._services.clock.now();
+		attempt.recordResult(true, now);
+		attempt.evidence.recordSilence(now);
 		this.abandon(attempt, 'stalled');
 		this._attempt();
 	}
 
 	/** Records the status and latency of an answer for its backend server, release and model. */
 	private _observe(attempt: Attempt, isFailed: boolean): void {
-		const {clock, observer} = this._services;
-		const {service, route} = this._admitted;
-		const {record, sentAt} = attempt;
-		const now = clock.now();
+		const now = this._services.clock.now();
 		attempt.recordResult(isFailed, now);
+		attempt.evidence.recordHead(isFailed, now);
 		this.model.recordFirstEvent(attempt);
-		observer.observe({
-			service, route: route.name, record, isFailed, latencyMs: now - sentAt,
-		});
 	}
 
 	private _onData(attempt: Attempt, chunk: Uint8Array): boolean {
@@ -295,6 +300,7 @@
 	private _fail(attempt: Attempt, reason: string): void {
 		this._mayHaveRun = true;
 		attempt.recordResult(true, this._services.clock.now());
+		attempt.evidence.recordBroken();
 		if (this._escalation.holds(attempt)) {
 			this._escalation.drop(reason);
 		} else {
@@ -347,6 +353,7 @@
 			this._mayHaveRun = true;
 			if (!attempt.head) {
 				this.model.recordFirstEvent(attempt);
+				attempt.evidence.recordSilence(this._services.clock.now());
 			}
 
 			this.abandon(attempt, timeoutReason);
--- a/src/common/forwarding/release-observer.ts
+++ b/src/common/forwarding/release-observer.ts
@@ -1,17 +1,22 @@
 import {type ServerRecord} from './server-pool.js';
 
-/** Outcome of an attempt at a backend server, as evidence on its release. */
-export interface ReleaseOutcome {
+/** What an attempt at a backend server is evidence on. */
+export interface ReleaseSubject {
 	readonly service: string;
 	readonly route: string;
 	readonly record: ServerRecord;
-	/** Whether the backend server ran the request and answered with an error status. */
-	readonly isFailed: boolean;
-	/** Time in milliseconds from sending the attempt to the head of its answer. */
-	readonly latencyMs: number;
+	readonly model: string | undefined;
 }
 
-/** Observes the outcomes of attempts. */
+/** Observes the attempts of all requests, as evidence on the releases of their backend servers. */
 export interface ReleaseObserver {
-	observe(outcome: ReleaseOutcome): void;
+	recordSent(subject: ReleaseSubject): void;
+	/** Records the head of an answer; `isFailed` tells whether the server ran the request and answered with an error status. */
+	recordAnswer(subject: ReleaseSubject, isFailed: boolean): void;
+	/** Records an attempt without a complete answer; `hasHead` tells whether its head was recorded. */
+	recordBroken(subject: ReleaseSubject, hasHead: boolean): void;
+	/** Records the time in milliseconds to the head of an answer, or to the moment at which the attempt was given up before it. */
+	recordHeadTime(subject: ReleaseSubject, latencyMs: number): void;
+	/** Records the mean time in milliseconds for 1,024 bytes of the body. */
+	recordPace(subject: ReleaseSubject, msPerKib: number): void;
 }
--- a/src/common/forwarding/servers-for-release.ts
+++ b/src/common/forwarding/servers-for-release.ts
@@ -17,7 +17,7 @@
 Returns the backend servers of the release to which a roll-out assigns a request. The hash of the session decides whether
 it is in the share of the new release, so all hosts send a session to the same release without coordination.
 */
-export function serversForRelease(rollout: ServiceRollout | undefined, session: RequestSession, candidates: readonly ServerRecord[]): readonly ServerRecord[] {
+export function serversForRelease(rollout: ServiceRollout | undefined, session: RequestSession, candidates: readonly ServerRecord[], now: number): readonly ServerRecord[] {
 	if (!rollout) {
 		return candidates;
 	}
@@ -34,5 +34,21 @@
 
 	const isInShare = hashString(session.key, rollout.revision) % shareSteps < rollout.share * shareSteps;
 	const staysOnOldRelease = rollout.holdsSessions && session.isSticky;
-	return isInShare && !staysOnOldRelease && target.length > 0 ? target : others;
+	if (!isInShare || staysOnOldRelease || target.length === 0) {
+		return others;
+	}
+
+	return rollout.share < 1 ? trialServers(rollout, target, others.length, now) : target;
+}
+
+/**
+Returns the servers of the new release that take part in its trial: so many that each of them gets as many requests as a
+server of the previous release. All hosts choose the same ones, as long as these are available.
+*/
+function trialServers({revision, share}: ServiceRollout, target: readonly ServerRecord[], previousServers: number, now: number): readonly ServerRecord[] {
+	const count = Math.max(1, Math.round(share * previousServers));
+	const rankOf = ({server}: ServerRecord) => hashString(server.id, revision);
+	const byRank = [...target].sort((left, right) => rankOf(left) - rankOf(right));
+	const available = byRank.filter(({health}) => health.isAvailable(now));
+	return (available.length > 0 ? available : byRank).slice(0, count);
 }
--- a/src/common/host/control-host.ts
+++ b/src/common/host/control-host.ts
@@ -26,6 +26,7 @@
 import {type RoutingRecord} from '../control/routing-record.js';
 import {type ServiceRollout} from '../control/service-rollout.js';
 import {VotersSource} from '../control/voters-section.js';
+import {type ExposureLimit} from '../release/exposure-limit.js';
 import {ReleaseSupervisor} from '../release/release-supervisor.js';
 import {StickySessionExchange} from '../release/sticky-sessions.js';
 
@@ -46,6 +47,8 @@
 	readonly storage: LogStorage;
 	/** Time in milliseconds after a request for which its session counts as active. */
 	readonly sessionMs: number;
+	/** Limit on the requests that a release under a roll-out receives. */
+	readonly exposureLimit: ExposureLimit;
 	/** Time in seconds for which callers cache the list of entry hosts. */
 	readonly keepSeconds: number;
 }
--- a/src/common/release/release-evidence.ts
+++ b/src/common/release/release-evidence.ts
@@ -1,18 +1,26 @@
 import {renewalSection} from '../control/renewal-section.js';
+import {type ValueHistogram} from './value-histogram.js';
 
-/** Outcomes of one route at one release since the start of the roll-out, counted by one process of an entry host. */
+/** Outcomes of one route and model at one release since the start of the roll-out, counted by one process of an entry host. */
 export interface ReleaseCounts {
 	readonly service: string;
 	readonly release: string;
 	readonly route: string;
+	/** Undefined for requests to plain services and when the caller chose the model. */
+	readonly model?: string;
+	/** Attempts that were sent. */
+	readonly sent: number;
+	/** Attempts with an answer, or with a broken one. */
 	readonly answers: number;
 	/** Answers with an error status of the backend server. */
 	readonly failures: number;
-	/** Sum of the natural logarithms of the latencies in milliseconds, measured to the head of an answer. */
-	readonly logLatency: number;
-	/** Sum of the squares of those logarithms. */
-	readonly logLatencySquares: number;
+	/** Attempts without a complete answer; counted once for a server that has stopped to answer. */
+	readonly broken: number;
+	/** Times from sending an attempt to the head of its answer in milliseconds; also of attempts that were given up before it. */
+	readonly headMs: ValueHistogram;
+	/** Paces of the bodies of answers in microseconds for 1,024 bytes. */
+	readonly paceUs: ValueHistogram;
 }
 
 /** Section of the renewals with the outcomes of an entry host. The counts are cumulative, so repeated or lost messages do no harm. */
-export const releaseSection = renewalSection<readonly ReleaseCounts[], never>('releases');
+export const releaseSection = renewalSection<readonly ReleaseCounts[], never>('release-outcomes');
--- a/src/common/release/release-verdict.test.ts
+++ b/src/common/release/release-judge.test.ts
@@ -1,23 +1,26 @@
 import {expect, it} from 'vitest';
 import {SeededRandom} from '../base/seeded-random.js';
 import {type ReleaseCounts} from './release-evidence.js';
-import {judgeRelease, type ReleaseVerdict, releaseVerdict} from './release-verdict.js';
+import {ReleaseJudge, type ReleaseVerdict, releaseVerdict} from './release-judge.js';
+import {addValue} from './value-histogram.js';
 
-type Load = {readonly answers: number; readonly failureShare: number; readonly latencyMs: number};
+/** `slowBodyShare` is the share of the answers whose body takes several times as long. */
+type Load = {readonly answers: number; readonly failureShare: number; readonly latencyMs: number; readonly slowBodyShare?: number};
 
-function counts(release: string, route: string, {answers, failureShare, latencyMs}: Load, random: SeededRandom): ReleaseCounts {
+const slowBodyFactor = 8;
+
+function counts(release: string, route: string, {answers, failureShare, latencyMs, slowBodyShare = 0}: Load, random: SeededRandom): ReleaseCounts {
 	let failures = 0;
-	let logLatency = 0;
-	let logLatencySquares = 0;
+	const headMs: number[] = [];
+	const paceUs: number[] = [];
 	for (let index = 0; index < answers; index++) {
-		const log = Math.log(latencyMs * (0.5 + random.next()));
+		addValue(headMs, latencyMs * (0.5 + random.next()));
+		addValue(paceUs, latencyMs * (random.next() < slowBodyShare ? slowBodyFactor : 1) * (0.5 + random.next()));
 		failures += random.next() < failureShare ? 1 : 0;
-		logLatency += log;
-		logLatencySquares += log ** 2;
 	}
 
 	return {
-		service: 's', release, route, answers, failures, logLatency, logLatencySquares,
+		service: 's', release, route, sent: answers, answers, failures, broken: 0, headMs, paceUs,
 	};
 }
 
@@ -36,6 +39,12 @@
 	{
 		name: 'a slow release', base: healthy, target: {answers: 30, failureShare: 0, latencyMs: 800}, verdict: releaseVerdict.bad, minMatching: 50,
 	},
+	{
+		name: 'a release with half of its bodies slow', base: healthy, target: {...healthy, answers: 60, slowBodyShare: 0.5}, verdict: releaseVerdict.bad, minMatching: 50,
+	},
+	{
+		name: 'a release with as many slow bodies as the old one', base: {...healthy, slowBodyShare: 0.1}, target: {...healthy, answers: 60, slowBodyShare: 0.1}, verdict: releaseVerdict.bad, minMatching: 0,
+	},
 	{
 		name: 'a release that fails as often as the old one', base: flaky, target: {...flaky, answers: 100}, verdict: releaseVerdict.bad, minMatching: 0,
 	},
@@ -45,7 +54,7 @@
 ])('judges $name', ({base, target, verdict, minMatching}) => {
 	const verdicts = Array.from({length: 50}, (_, seed) => {
 		const random = new SeededRandom(seed);
-		return judgeRelease('new', [counts('old', 'r', base, random), counts('new', 'r', target, random)]).verdict;
+		return new ReleaseJudge('new').judge([counts('old', 'r', base, random), counts('new', 'r', target, random)]).verdict;
 	});
 	const matching = verdicts.filter(one => one === verdict).length;
 	if (minMatching === 0) {
@@ -64,5 +73,18 @@
 		counts('new', 'one', {...healthy, answers: 60}, random),
 		counts('new', 'two', {answers: 8, failureShare: 0.9, latencyMs: 100}, random),
 	];
-	expect(judgeRelease('new', rows).verdict).toBe(releaseVerdict.bad);
+	expect(new ReleaseJudge('new').judge(rows).verdict).toBe(releaseVerdict.bad);
+});
+
+// Guards against good answers at an early time or a low load that hide later bad ones.
+it('detects a release that turns bad after many good answers', () => {
+	const random = new SeededRandom(3);
+	const judge = new ReleaseJudge('new');
+	const good = counts('new', 'r', {...healthy, answers: 150}, random);
+	const bad = counts('new', 'r', {answers: 30, failureShare: 0.5, latencyMs: 100}, random);
+	const base = counts('old', 'r', healthy, random);
+	expect(judge.judge([base, good]).verdict).toBe(releaseVerdict.good);
+	expect(judge.judge([base, {
+		...good, sent: 180, answers: 180, failures: bad.failures,
+	}]).verdict).toBe(releaseVerdict.bad);
 });
--- /dev/null
+++ b/src/common/release/release-judge.ts
@@ -0,0 +1,165 @@
+import {logLikelihoodRatio} from '../evidence/log-likelihood-ratio.js';
+import {type ReleaseCounts} from './release-evidence.js';
+import {
+	addOutcomes, addTrials, noOutcomes, noTrial, type Outcomes, respect, type Respect, respects, type Sample, type Stratum, type Trial, trialOf,
+} from './release-trial.js';
+
+/** Result of the comparison of a release with the previous one. */
+export const releaseVerdict = {
+	good: 'good',
+	bad: 'bad',
+	/** There is not enough evidence yet. */
+	undecided: 'undecided',
+} as const;
+export type ReleaseVerdict = typeof releaseVerdict[keyof typeof releaseVerdict];
+
+/** A verdict with its reason and the counts behind it. */
+export interface JudgedRelease {
+	readonly verdict: ReleaseVerdict;
+	readonly reason: string;
+	readonly answers: number;
+	/** Bad answers by respect. */
+	readonly bad: Readonly<Record<Respect, number>>;
+}
+
+/** False positive rate of each test: the share of good releases that it rejects. */
+const falsePositiveRate = 0.0005;
+/** False negative rate of each test: the share of bad releases that it accepts. */
+const falseNegativeRate = 0.005;
+/** Minimum share of bad answers that is assumed for the previous release, so that few of them do not make the new one bad. */
+const minBaseShare: Readonly<Record<Respect, number>> = {
+	failures: 0.02,
+	// A single server that crashes breaks one answer at each host.
+	broken: 0.2,
+	// The new release starts with empty caches.
+	head: 0.1,
+	pace: 0.08,
+};
+/** Maximum share that is assumed for the previous release. */
+const maxBaseShare = 0.6;
+/** Increase of the share of bad answers that makes a release bad. */
+const badShareIncrease = 0.25;
+/** Number of answers of a route before a release is good. If half of all answers fail, at least one of 5 does with a probability of 97 %. */
+const minRouteAnswers = 5;
+/** The same as a share of the answers of the previous release, for routes with few requests. */
+const minRouteShare = 0.05;
+/** Number of answers of the previous release since the start of the trial from which earlier ones are left out. */
+const minRecentAnswers = 40;
+const rejectAt = Math.log((1 - falseNegativeRate) / falsePositiveRate);
+const acceptAt = Math.log(falseNegativeRate / (1 - falsePositiveRate));
+const allRoutes = 'all routes';
+
+/**
+Judges a release by the evidence of all hosts: failures, broken answers and slow ones, for each route and for all together.
+Evidence for "bad" is a cumulative sum that never falls below zero (CUSUM), so good answers at an early time or a low load do
+not outweigh later bad ones. A release is good when all its answers together favour that.
+*/
+export class ReleaseJudge {
+	/** Cumulative sum and last sample of each test. */
+	private readonly _sums = new Map<string, {sum: number; last: Sample}>();
+	/** Counts of each route and model before the trial. */
+	private _before: ReadonlyMap<string, Outcomes> = new Map();
+	private _latest: ReadonlyMap<string, Outcomes> = new Map();
+
+	constructor(private readonly _target: string) {}
+
+	/** Compares with the answers of the previous release from now on only, because its load and caches may have changed. */
+	startTrial(): void {
+		this._before = this._latest;
+	}
+
+	/** Judges the release by the counts of all hosts, which never decrease. */
+	judge(rows: Iterable<ReleaseCounts>): JudgedRelease {
+		const strata = this._strata(rows);
+		const routes = new Map<string, Stratum[]>();
+		for (const stratum of strata) {
+			routes.set(stratum.route, [...(routes.get(stratum.route) ?? []), stratum]);
+		}
+
+		const all = new Map(respects.map(one => [one, noTrial]));
+		let doubt = '';
+		let rejection = '';
+		for (const [route, parts] of routes) {
+			for (const one of respects) {
+				const trial = sumTrials(parts, one);
+				all.set(one, addTrials(all.get(one)!, trial));
+				rejection ||= this._reject(route, one, trial);
+				doubt ||= doubtOf(route, one, trial);
+			}
+		}
+
+		for (const [one, trial] of all) {
+			rejection ||= this._reject(allRoutes, one, trial);
+			doubt ||= ratioOf(trial, one) > (one === respect.failures ? acceptAt : 0) ? describe(allRoutes, one, trial) : '';
+		}
+
+		const counts = {
+			answers: all.get(respect.failures)!.target.count,
+			bad: Object.fromEntries(respects.map(one => [one, all.get(one)!.target.bad])) as Record<Respect, number>,
+		};
+		if (rejection) {
+			return {verdict: releaseVerdict.bad, reason: rejection, ...counts};
+		}
+
+		return {verdict: doubt ? releaseVerdict.undecided : releaseVerdict.good, reason: doubt || 'no difference found', ...counts};
+	}
+
+	/** Adds the latest answers to the cumulative sum of a test. @returns why the release is bad; empty when it is not. */
+	private _reject(route: string, one: Respect, trial: Trial): string {
+		const key = `${route}/${one}`;
+		const {sum, last} = this._sums.get(key) ?? {sum: 0, last: noTrial.target};
+		// The bound of slow answers moves with the previous release, which may change the count of slow ones.
+		const count = Math.max(0, trial.target.count - last.count);
+		const bad = Math.max(0, Math.min(count, trial.target.bad - last.bad));
+		const next = Math.max(0, sum + ratioOf({target: {count, bad}, base: trial.base}, one));
+		this._sums.set(key, {sum: next, last: trial.target});
+		return next >= rejectAt ? describe(route, one, trial) : '';
+	}
+
+	private _strata(rows: Iterable<ReleaseCounts>): Stratum[] {
+		const latest = new Map<string, Outcomes>();
+		const strata = new Map<string, Stratum>();
+		for (const row of rows) {
+			const {route, model, release} = row;
+			const isTarget = release === this._target;
+			const key = JSON.stringify([route, model]);
+			const stratum = strata.get(key) ?? {route, target: noOutcomes, base: noOutcomes};
+			strata.set(key, isTarget ? {...stratum, target: addOutcomes(stratum.target, row)} : {...stratum, base: addOutcomes(stratum.base, row)});
+		}
+
+		for (const [key, {base}] of strata) {
+			latest.set(key, base);
+		}
+
+		this._latest = latest;
+		return [...strata].map(([key, stratum]) => {
+			const recent = addOutcomes(stratum.base, this._before.get(key) ?? noOutcomes, -1);
+			return recent.answers < minRecentAnswers ? stratum : {...stratum, base: recent};
+		});
+	}
+}
+
+function sumTrials(strata: readonly Stratum[], one: Respect): Trial {
+	let sum = noTrial;
+	for (const stratum of strata) {
+		sum = addTrials(sum, trialOf(stratum, one));
+	}
+
+	return sum;
+}
+
+/** Returns why a route keeps a release from being good. Otherwise the answers of other routes could hide its bad ones. */
+function doubtOf(route: string, one: Respect, trial: Trial): string {
+	const isTooFew = one === respect.failures && trial.target.count < Math.min(minRouteAnswers, trial.base.count * minRouteShare);
+	return isTooFew || ratioOf(trial, one) > 0 ? describe(route, one, trial) : '';
+}
+
+/** Logarithm of the likelihood ratio of a bad release to one like the previous one. */
+function ratioOf({target, base}: Trial, one: Respect): number {
+	const baseShare = Math.min(maxBaseShare, Math.max(minBaseShare[one], (base.bad + 0.5) / (base.count + 1)));
+	return logLikelihoodRatio(target.bad, target.count - target.bad, Math.min(0.95, baseShare + badShareIncrease), baseShare);
+}
+
+function describe(route: string, one: Respect, {target, base}: Trial): string {
+	return `${one} of ${route}: ${target.bad} of ${target.count} answers, ${base.bad} of ${base.count} before`;
+}
--- a/src/common/release/release-supervisor.test.ts
+++ b/src/common/release/release-supervisor.test.ts
@@ -9,7 +9,10 @@
 import {ControlState} from '../control/control-state.js';
 import {type ReleaseCounts} from './release-evidence.js';
 import {ReleaseSupervisor} from './release-supervisor.js';
+import {addValue} from './value-histogram.js';
 
+/** Share of the requests that a bad release may receive, as specified by the users. */
+const exposureBound = 0.15;
 const durationMs = 20_000;
 /** Answers of all hosts together in one second. */
 const answersPerSecond = 100;
@@ -28,7 +31,7 @@
 	const state = new ControlState();
 	const log = new LocalLog<ControlCommand, ControlResult>('a', state);
 	const create = () => new ReleaseSupervisor({
-		log, state, clock, logger: nullLogger, leadership: {period: {}} as unknown as ControlLeadership,
+		log, state, clock, logger: nullLogger, leadership: {period: {}} as unknown as ControlLeadership, exposureLimit: {share: exposureBound, slack: 0},
 	});
 	let supervisor = create();
 	for (const release of ['old', 'new']) {
@@ -38,19 +41,15 @@
 	await log.propose({
 		type: 'start-service-rollout', service: 's', target: 'new', durationMs, at: clock.wallTime(),
 	});
-	const sums = {
-		old: {
-			answers: 0, failures: 0, logLatency: 0, logLatencySquares: 0,
-		}, new: {
-			answers: 0, failures: 0, logLatency: 0, logLatencySquares: 0,
-		},
-	};
+	const createSum = () => ({answers: 0, failures: 0, headMs: [] as number[]});
+	const sums = {old: createSum(), new: createSum()};
 	const add = (release: 'old' | 'new', answers: number, failureShare: number, latencyMs: number) => {
 		const sum = sums[release];
 		sum.answers += answers;
 		sum.failures += Math.round(answers * failureShare);
-		sum.logLatency += answers * Math.log(latencyMs);
-		sum.logLatencySquares += answers * (Math.log(latencyMs) ** 2);
+		for (let index = 0; index < answers; index++) {
+			addValue(sum.headMs, latencyMs);
+		}
 	};
 
 	let endedAt = durationMs;
@@ -71,7 +70,7 @@
 		add('new', fresh, failureShare, latencyMs);
 		add('old', answersPerSecond - fresh, 0, 100);
 		const counts: ReleaseCounts[] = (['old', 'new'] as const).map(release => ({
-			service: 's', release, route: 'r', ...sums[release],
+			service: 's', release, route: 'r', sent: sums[release].answers, broken: 0, paceUs: [], ...sums[release], headMs: [...sums[release].headMs],
 		}));
 		supervisor.receive({host: 'e', incarnation: 1}, counts);
 		await clock.advance(1000); // eslint-disable-line no-await-in-loop -- time advances step by step
@@ -83,9 +82,6 @@
 	};
 }
 
-/** Share of the requests that a bad release may receive, as specified by the users. */
-const exposureBound = 0.15;
-
 // Guards against a bad release that is not reverted or receives too many requests, and a good one that is not completed.
 it.each<{name: string; faults: Faults; state: string; leaderChangeAt?: number}>([
 	{name: 'a good release', faults: () => ({failureShare: 0, latencyMs: 100}), state: 'completed'},
@@ -116,7 +112,7 @@
 	const control = new ControlState();
 	const log = new LocalLog<ControlCommand, ControlResult>('a', control);
 	const supervisor = new ReleaseSupervisor({
-		log, state: control, clock, logger: nullLogger, leadership: {period: {}} as unknown as ControlLeadership,
+		log, state: control, clock, logger: nullLogger, leadership: {period: {}} as unknown as ControlLeadership, exposureLimit: {share: exposureBound, slack: 0},
 	});
 	await log.propose({
 		type: 'start-service-rollout', service: 's', target: 'new', durationMs, at: clock.wallTime(),
--- a/src/common/release/release-supervisor.ts
+++ b/src/common/release/release-supervisor.ts
@@ -9,8 +9,13 @@
 import {type LeaderSection, type RenewalSender} from '../control/leader-section.js';
 import {PeriodicSweep} from '../control/periodic-sweep.js';
 import {serviceRolloutState, type ServiceRollout, type ServiceRolloutState} from '../control/service-rollout.js';
+import {type ExposureLimit} from './exposure-limit.js';
 import {type ReleaseCounts, releaseSection} from './release-evidence.js';
-import {type JudgedRelease, judgeRelease, releaseVerdict} from './release-verdict.js';
+import {type JudgedRelease, ReleaseJudge, releaseVerdict} from './release-judge.js';
+import {
+	allowedStage, releaseStage, type ReleaseStage, trialShare,
+} from './release-schedule.js';
+import {ReleaseTraffic} from './release-traffic.js';
 
 /** Dependencies of `ReleaseSupervisor`. */
 export interface ReleaseSupervisorOptions {
@@ -19,39 +24,29 @@
 	readonly leadership: ControlLeadership;
 	readonly clock: Clock;
 	readonly logger: Logger;
+	readonly exposureLimit: ExposureLimit;
+}
+
+/** What this leader knows of a roll-out. */
+interface Observation {
+	readonly revision: number;
+	readonly judge: ReleaseJudge;
+	readonly traffic: ReleaseTraffic;
+	loggedAt: number;
 }
 
-/** Stages of a roll-out: the share of the sessions, and the fraction of the duration from which it applies. */
-const stages = [
-	{from: 0, share: 0},
-	{from: 0, share: 0.12},
-	{from: 0.55, share: 0.3},
-	{from: 0.65, share: 1},
-] as const;
-/** Fraction of the duration from which sticky sessions may move to the new release. */
-const moveSessionsFrom = 0.55;
-/** Time in milliseconds from the start to the first share: two renewals, in which the hosts exchange their sticky sessions. */
-const sessionExchangeMs = 2200;
-/** Fraction of the duration from which a good release is completed; the old release can finish its requests in the rest. */
-const completeFrom = 0.82;
-/** Fraction of the duration from which a release without enough evidence is reverted. */
-const revertFrom = 0.93;
 const sweepIntervalMs = 200;
-/** Minimum time in milliseconds between two log lines on releases in progress. */
+/** Minimum time in milliseconds between two log lines on a roll-out in progress. */
 const logIntervalMs = 1000;
-
-/** Returns the share of the stage that begins at a fraction of the duration. */
-function stageShareFrom(fraction: number): number {
-	return stages.find(({from}) => from === fraction)!.share;
-}
+const wholeShare = 1;
 
 /** Advances roll-outs of releases at the leader, based on the evidence of all entry hosts, and reverts bad releases. */
 export class ReleaseSupervisor implements LeaderSection<readonly ReleaseCounts[], never>, Disposable {
 	readonly section = releaseSection;
 	private readonly _rows = new Map<string, ReleaseCounts>();
+	private readonly _observations = new Map<string, Observation>();
 	private readonly _sweep: PeriodicSweep;
 	private _isProposing = false;
-	private _loggedAt = -Infinity;
 
 	constructor(private readonly _options: ReleaseSupervisorOptions) {
 		this._sweep = new PeriodicSweep(_options.clock, sweepIntervalMs, () => {
@@ -61,13 +56,15 @@
 
 	reset(): void {
 		this._rows.clear();
+		this._observations.clear();
 	}
 
 	receive({host, incarnation}: RenewalSender, rows: readonly ReleaseCounts[]): void {
 		for (const counts of rows) {
-			const key = `${host}#${incarnation}/${counts.service}/${counts.release}/${counts.route}`;
+			const {service, release, route, model, sent} = counts;
+			const key = JSON.stringify([host, incarnation, service, release, route, model]);
 			const known = this._rows.get(key);
-			if (!known || known.answers <= counts.answers) {
+			if (!known || known.sent <= sent) {
 				this._rows.set(key, counts);
 			}
 		}
@@ -95,64 +92,91 @@
 	}
 
 	private _advance(rollout: ServiceRollout): void {
-		const {clock, state} = this._options;
-		const {service, target, startedAt, durationMs, share} = rollout;
+		const {clock} = this._options;
+		const {service, startedAt, durationMs, share} = rollout;
+		const observation = this._observe(rollout);
+		const {judge, traffic} = observation;
 		const rows = [...this._rows.values()].filter(counts => counts.service === service);
-		const {verdict, reason, answers, failures} = judgeRelease(target, rows);
-		const evidence = `${reason}; ${failures} of ${answers} failed`;
+		traffic.update(rows, clock.now());
+		const judged = judge.judge(rows);
 		const elapsedMs = clock.wallTime() - startedAt;
-		const fraction = elapsedMs / durationMs;
-		this._log(rollout, elapsedMs, {
-			verdict, reason, answers, failures,
-		});
-		const hasTarget = [...state.backendServers.values()].some(({services, release, isDraining}) => release === target && !isDraining && services.includes(service));
-		if (verdict === releaseVerdict.bad) {
-			this._step(rollout, serviceRolloutState.reverted, 0, evidence);
+		const {old, target} = this._serverCounts(rollout);
+		const {exposed, all, perSecond} = traffic;
+		const stage = allowedStage({
+			elapsedMs, durationMs, trialShare: trialShare(old), exposed, all, perSecond,
+		}, this._options.exposureLimit);
+		this._log(rollout, observation, judged, {elapsedMs: Math.round(elapsedMs), stage, perSecond: perSecond && Math.round(perSecond)});
+		if (judged.verdict === releaseVerdict.bad) {
+			this._step(rollout, serviceRolloutState.reverted, 0, judged);
 			return;
 		}
 
-		if (verdict === releaseVerdict.good && fraction >= completeFrom && share === 1) {
-			this._step(rollout, serviceRolloutState.completed, 1, evidence);
+		if (stage === releaseStage.ending) {
+			this._end(rollout, judged);
 			return;
 		}
 
-		if (fraction >= revertFrom) {
-			this._step(rollout, serviceRolloutState.reverted, 0, `not proved in time: ${evidence}`);
-			return;
+		if (stage === releaseStage.moving && judged.verdict === releaseVerdict.good && share < wholeShare) {
+			this._step(rollout, serviceRolloutState.inProgress, wholeShare, judged);
+		} else if (stage !== releaseStage.waiting && share === 0 && target > 0) {
+			judge.startTrial();
+			this._step(rollout, serviceRolloutState.inProgress, trialShare(old), judged);
+		}
+	}
+
+	private _end(rollout: ServiceRollout, judged: JudgedRelease): void {
+		if (judged.verdict === releaseVerdict.good) {
+			this._step(rollout, serviceRolloutState.completed, wholeShare, judged);
+		} else {
+			this._step(rollout, serviceRolloutState.reverted, 0, {...judged, reason: `not proved in time: ${judged.reason}`});
 		}
+	}
 
-		const stage = elapsedMs < sessionExchangeMs ? stages[0] : stages.findLast(({from}) => fraction >= from)!;
-		const allowedShare = verdict === releaseVerdict.good || stage.from === 0 ? stage.share : share;
-		if (hasTarget && allowedShare > share) {
-			this._step(rollout, serviceRolloutState.inProgress, allowedShare, evidence);
+	private _observe({service, target, revision}: ServiceRollout): Observation {
+		let observation = this._observations.get(service);
+		if (observation?.revision !== revision) {
+			observation = {
+				revision, judge: new ReleaseJudge(target), traffic: new ReleaseTraffic(target), loggedAt: -Infinity,
+			};
+			this._observations.set(service, observation);
 		}
+
+		return observation;
+	}
+
+	/** Number of servers of the new release and of all others that take requests. */
+	private _serverCounts({service, target}: ServiceRollout): {old: number; target: number} {
+		const servers = [...this._options.state.backendServers.values()].filter(({services, isDraining}) => !isDraining && services.includes(service));
+		const count = servers.filter(({release}) => release === target).length;
+		return {old: servers.length - count, target: count};
 	}
 
 	/** Logs the current judgement, at most once in `logIntervalMs`. */
-	private _log({service, target, share}: ServiceRollout, elapsedMs: number, {verdict, reason, answers, failures}: JudgedRelease): void {
+	private _log({service, target, share}: ServiceRollout, observation: Observation, judged: JudgedRelease, inputs: {elapsedMs: number; stage: ReleaseStage; perSecond: number | undefined}): void {
 		const {clock, logger} = this._options;
-		if (clock.now() - this._loggedAt >= logIntervalMs) {
-			this._loggedAt = clock.now();
+		if (clock.now() - observation.loggedAt >= logIntervalMs) {
+			observation.loggedAt = clock.now();
+			const {exposed, all} = observation.traffic;
 			logger.info({
-				service, target, elapsedMs: Math.round(elapsedMs), share, verdict, reason, answers, failures,
+				service, target, share, ...inputs, exposed, all, ...judged,
 			}, 'release judged');
 		}
 	}
 
-	private _step({service, target}: ServiceRollout, state: ServiceRolloutState, share: number, reason: string): void {
+	private _step({service, target}: ServiceRollout, state: ServiceRolloutState, share: number, judged: JudgedRelease): void {
 		this._isProposing = true;
 		void this._propose({
-			type: 'service-rollout-step', service, target, state, share, reason, holdsSessions: share < stageShareFrom(moveSessionsFrom),
-		});
+			type: 'service-rollout-step', service, target, state, share, reason: judged.reason, holdsSessions: share < wholeShare,
+		}, judged);
 	}
 
-	private async _propose(command: Extract<ControlCommand, {type: 'service-rollout-step'}>): Promise<void> {
+	private async _propose(command: Extract<ControlCommand, {type: 'service-rollout-step'}>, {verdict, answers, bad}: JudgedRelease): Promise<void> {
 		const {log, logger} = this._options;
 		const {service, target, state, share, reason} = command;
 		try {
 			await log.propose(command);
 			logger.info({
-				service, target, state, share, reason,
+				service, target, state, share, verdict, reason, answers, bad,
 			}, 'roll-out step');
 		} catch (error) {
 			logger.warn({service, target, err: error}, 'roll-out step could not be committed');
--- a/src/common/release/sticky-sessions.test.ts
+++ b/src/common/release/sticky-sessions.test.ts
@@ -74,6 +74,6 @@
 	const rollout: ServiceRollout = {
 		service: 's', target: 'new', state, share, holdsSessions, startedAt: 0, durationMs: 1000, revision: 1,
 	};
-	const chosen = serversForRelease(rollout, {key: 'k', isSticky}, [record('old'), record('new')]);
+	const chosen = serversForRelease(rollout, {key: 'k', isSticky}, [record('old'), record('new')], 0);
 	expect(chosen.map(({server}) => server.release)).toEqual([release]);
 });
--- a/src/testing/forwarder-fixture.ts
+++ b/src/testing/forwarder-fixture.ts
@@ -8,6 +8,7 @@
 import {LoadAwareCascade} from '../common/forwarding/load-aware-cascade.js';
 import {ModelSpeeds} from '../common/forwarding/model-speeds.js';
 import {AffinityPlacement} from '../common/forwarding/placement.js';
+import {type ReleaseObserver} from '../common/forwarding/release-observer.js';
 import {RouteTable} from '../common/forwarding/route-table.js';
 import {repetition, type Repetition, type Route} from '../common/forwarding/routing-config.js';
 import {ServerPool} from '../common/forwarding/server-pool.js';
@@ -15,6 +16,10 @@
 import {RecordingSink} from './recording-sink.js';
 import {ScriptedPort} from './scripted-port.js';
 
+const nullObserver: ReleaseObserver = {
+	recordSent: () => undefined, recordAnswer: () => undefined, recordBroken: () => undefined, recordHeadTime: () => undefined, recordPace: () => undefined,
+};
+
 /** Creates a backend server of service `s`. */
 export function testBackend(id: string, changes: Partial<BackendServer> = {}): BackendServer {
 	return {
@@ -46,7 +51,7 @@
 	});
 	const budget = new RetryBudget(0.5, 5);
 	const forwarder = new Forwarder({
-		zone: 'z', clock, logger: nullLogger, counters: nullCounters, lease, state: () => ({table, rollouts: new Map(), hostCount: 1}), pool, port, placement: new AffinityPlacement(random), speeds: new ModelSpeeds(), models: new LoadAwareCascade(60, 1), observer: {observe: () => undefined}, sessions: {recordRequest: () => undefined, isSticky: () => false}, budget: () => budget, random: () => random.next(),
+		zone: 'z', clock, logger: nullLogger, counters: nullCounters, lease, state: () => ({table, rollouts: new Map(), hostCount: 1}), pool, port, placement: new AffinityPlacement(random), speeds: new ModelSpeeds(), models: new LoadAwareCascade(60, 1), observer: nullObserver, sessions: {recordRequest: () => undefined, isSticky: () => false}, budget: () => budget, random: () => random.next(),
 	});
 	const send = (req: Partial<ForwardRequest> = {}) => {
 		const sink = new RecordingSink();
--- a/src/testing/rollout-simulation.ts
+++ b/src/testing/rollout-simulation.ts
@@ -96,7 +96,7 @@
 	const state = new ControlState();
 	const log = new LocalLog<ControlCommand, ControlResult>('a', state);
 	const createSupervisor = () => new ReleaseSupervisor({
-		log, state, clock, logger: nullLogger, leadership: {period: {}} as unknown as ControlLeadership,
+		log, state, clock, logger: nullLogger, leadership: {period: {}} as unknown as ControlLeadership, exposureLimit: {share: 0.15, slack: 30},
 	});
 	let supervisor = createSupervisor();
 	const servers = ['old', 'new'].flatMap(release => Array.from({length: serversPerRelease}, (_, index) => backend(`${release}-${index}`, release)));
