Decode the request limit that a server names, and log its changes

Cause: the logs could not tell a limit that is not read from one that does not arrive. Change: the adapter decodes the field, the record of the server keeps it, a line and a counter show each change. No decision depends on it yet. The test fixture of forwarders is one function for two users. Evidence: 215 tests of forwarding, release, formats and counters pass.

--- a/src/common/forwarding/forward-request.ts
+++ b/src/common/forwarding/forward-request.ts
@@ -83,6 +83,8 @@
 	readonly isForRequest: boolean;
 	/** The model's confidence in its answer, from 0 to 100. */
 	readonly confidence: number | undefined;
+	/** Request rate in 1/s that the backend server takes from all hosts together; undefined without a limit. */
+	readonly requestsPerSecond: number | undefined;
 	/** Length of the body in bytes; undefined when the head does not state it. */
 	readonly length: number | undefined;
 	/** Whether the body ends with its connection, so that a truncated body looks like a complete one. */
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -14,6 +14,7 @@
 import {guardedEvents} from './guarded-events.js';
 import {headVerdict, isSuccess, judgeHead} from './head-verdict.js';
 import {RequestModel} from './request-model.js';
+import {recordLimit} from './record-limit.js';
 import {RequestAttempts} from './request-attempts.js';
 import {type ServerRecord} from './server-pool.js';
 import {reportRequest} from './request-report.js';
@@ -178,6 +179,10 @@
 			return;
 		}
 
+		if (!head.isOtherServer) {
+			recordLimit(this._services, attempt, head);
+		}
+
 		if (verdict === headVerdict.refused) {
 			this._onRefused(attempt, head);
 			return;
--- a/src/common/forwarding/server-pool.ts
+++ b/src/common/forwarding/server-pool.ts
@@ -1,5 +1,6 @@
 import {backendKey, type BackendServer} from '../control/backend-server.js';
 import {BackendHealth} from '../routing/backend-health.js';
+import {RequestLimit} from './request-limit.js';
 
 /** Backoff in milliseconds after a backend server refused a request without naming a time. */
 const defaultBackoffMs = 150;
@@ -7,6 +8,7 @@
 /** A process of a backend server, with the state that this host derives from its own requests. */
 export class ServerRecord {
 	readonly health = new BackendHealth();
+	readonly limit = new RequestLimit();
 	/** Number of attempts of this host in flight. */
 	inFlight = 0;
 	/** Time until which the backend server counts as overloaded after it refused a request. */
--- a/src/testing/forwarder-fixture.ts
+++ b/src/testing/forwarder-fixture.ts
@@ -1,8 +1,10 @@
 import {nullCounters} from '../common/base/null-counters.js';
 import {nullLogger} from '../common/base/null-logger.js';
+import {type RandomSource} from '../common/base/random-source.js';
 import {SeededRandom} from '../common/base/seeded-random.js';
 import {type BackendServer} from '../common/control/backend-server.js';
 import {RetryBudget} from '../common/entry/retry-budget.js';
+import {type ForwardServices} from '../common/forwarding/forward-services.js';
 import {type ForwardRequest} from '../common/forwarding/forward-request.js';
 import {Forwarder} from '../common/forwarding/forwarder.js';
 import {LoadAwareCascade} from '../common/forwarding/load-aware-cascade.js';
@@ -27,6 +29,16 @@
 	};
 }
 
+/** Parts of a forwarder that a test sets; the others do nothing. */
+export type TestForwarderOptions = Pick<ForwardServices, 'clock' | 'lease' | 'pool' | 'port' | 'budget' | 'state'> & Partial<Pick<ForwardServices, 'observer'>> & {readonly random: RandomSource};
+
+/** Creates a forwarder without logs, counters and sticky sessions. */
+export function createTestForwarder({random, observer = nullObserver, ...options}: TestForwarderOptions): Forwarder {
+	return new Forwarder({
+		...options, observer, zone: 'z', logger: nullLogger, counters: nullCounters, placement: new AffinityPlacement(random), speeds: new ModelSpeeds(), models: new LoadAwareCascade(60, 1), sessions: {recordRequest: () => undefined, isSticky: () => false}, random: () => random.next(),
+	});
+}
+
 /** Creates a forwarder with one route, a manual clock and scripted backend servers. */
 export function createForwarderFixture(kind: Repetition, changes: Partial<Route> = {}, servers: readonly BackendServer[] = [testBackend('a'), testBackend('bb'), testBackend('ccc')]) {
 	const route: Route = {
@@ -50,8 +62,8 @@
 		customers: [{name: 'shop', keys: ['key'], priority: 1}],
 	});
 	const budget = new RetryBudget(0.5, 5);
-	const forwarder = new Forwarder({
-		zone: 'z', clock, logger: nullLogger, counters: nullCounters, lease, state: () => ({table, rollouts: new Map(), hostCount: 1}), pool, port, placement: new AffinityPlacement(random), speeds: new ModelSpeeds(), models: new LoadAwareCascade(60, 1), observer: nullObserver, sessions: {recordRequest: () => undefined, isSticky: () => false}, budget: () => budget, random: () => random.next(),
+	const forwarder = createTestForwarder({
+		clock, lease, random, pool, port, budget: () => budget, state: () => ({table, rollouts: new Map(), hostCount: 1}),
 	});
 	const send = (req: Partial<ForwardRequest> = {}) => {
 		const sink = new RecordingSink();
--- a/src/testing/rollout-simulation.ts
+++ b/src/testing/rollout-simulation.ts
@@ -1,4 +1,3 @@
-import {nullCounters} from '../common/base/null-counters.js';
 import {nullLogger} from '../common/base/null-logger.js';
 import {SeededRandom} from '../common/base/seeded-random.js';
 import {type BackendServer} from '../common/control/backend-server.js';
@@ -8,15 +7,12 @@
 import {ControlState} from '../common/control/control-state.js';
 import {serviceRolloutState, type ServiceRolloutState} from '../common/control/service-rollout.js';
 import {RetryBudget} from '../common/entry/retry-budget.js';
-import {Forwarder} from '../common/forwarding/forwarder.js';
-import {LoadAwareCascade} from '../common/forwarding/load-aware-cascade.js';
-import {ModelSpeeds} from '../common/forwarding/model-speeds.js';
-import {AffinityPlacement} from '../common/forwarding/placement.js';
 import {RouteTable} from '../common/forwarding/route-table.js';
 import {repetition, type Route} from '../common/forwarding/routing-config.js';
 import {ServerPool} from '../common/forwarding/server-pool.js';
 import {ReleaseRecorder} from '../common/release/release-recorder.js';
 import {ReleaseSupervisor} from '../common/release/release-supervisor.js';
+import {createTestForwarder} from './forwarder-fixture.js';
 import {LocalLog} from './local-log.js';
 import {ManualClock} from './manual-clock.js';
 import {RecordingSink} from './recording-sink.js';
@@ -182,8 +178,8 @@
 			return rollout?.state === serviceRolloutState.inProgress ? rollout.revision : undefined;
 		});
 		const budget = new RetryBudget(0.5, 4);
-		const forwarder = new Forwarder({
-			zone: 'z', clock, logger: nullLogger, counters: nullCounters, lease: {expiresAt: Infinity, isValid: () => true}, state: () => ({table, rollouts: state.serviceRollouts, hostCount}), pool, port: new ScriptedPort(answer), placement: new AffinityPlacement(random), speeds: new ModelSpeeds(), models: new LoadAwareCascade(60, 1), observer: recorder, sessions: {recordRequest: () => undefined, isSticky: () => false}, budget: () => budget, random: () => random.next(),
+		const forwarder = createTestForwarder({
+			clock, lease: {expiresAt: Infinity, isValid: () => true}, random, pool, port: new ScriptedPort(answer), budget: () => budget, observer: recorder, state: () => ({table, rollouts: state.serviceRollouts, hostCount}),
 		});
 		return {forwarder, recorder};
 	});
