--- a/src/common/forwarding/forward-services.ts
+++ b/src/common/forwarding/forward-services.ts
@@ -19,6 +19,8 @@
 	readonly rollouts: ReadonlyMap<string, ServiceRollout>;
 	/** Number of hosts that share the connections to backend servers. */
 	readonly hostCount: number;
+	/** Position of this host among them in the order of their names. */
+	readonly hostIndex: number;
 }
 
 /** Tracks the sessions that recently ran on the release that a roll-out replaces. */
--- a/src/common/host/forward-host.ts
+++ b/src/common/host/forward-host.ts
@@ -65,6 +65,7 @@
 	private readonly _onServers = this._store.add(new Emitter<ReadonlySet<string>>());
 	private _table: RouteTable | undefined;
 	private _routingRevision = -1;
+	private _hostIndex = 0;
 
 	constructor(private readonly _options: ForwardHostOptions) {
 		const {
@@ -134,7 +135,9 @@
 
 	private _state(): ForwardState {
 		const {view} = this.follower;
-		return {table: this._table, rollouts: view.serviceRollouts, hostCount: view.entryHosts.size};
+		return {
+			table: this._table, rollouts: view.serviceRollouts, hostCount: view.entryHosts.size, hostIndex: this._hostIndex,
+		};
 	}
 
 	private _budget(service: string): RetryBudget {
@@ -151,6 +154,7 @@
 		const {logger, parseRouting} = this._options;
 		const {view} = this.follower;
 		this._pool.update(view.backendServers.values());
+		this._hostIndex = Math.max(0, [...view.entryHosts.keys()].sort().indexOf(this._options.entry.host));
 		this._onServers.fire(new Set([...view.backendServers.values()].map(({address}) => address)));
 		const {routing} = view;
 		if (routing && routing.revision !== this._routingRevision) {
--- a/src/testing/forwarder-fixture.ts
+++ b/src/testing/forwarder-fixture.ts
@@ -63,7 +63,9 @@
 	});
 	const budget = new RetryBudget(0.5, 5);
 	const forwarder = createTestForwarder({
-		clock, lease, random, pool, port, budget: () => budget, state: () => ({table, rollouts: new Map(), hostCount: 1}),
+		clock, lease, random, pool, port, budget: () => budget, state: () => ({
+			table, rollouts: new Map(), hostCount: 1, hostIndex: 0,
+		}),
 	});
 	const send = (req: Partial<ForwardRequest> = {}) => {
 		const sink = new RecordingSink();
--- a/src/testing/rollout-simulation.ts
+++ b/src/testing/rollout-simulation.ts
@@ -170,7 +170,7 @@
 		},
 		customers: undefined,
 	});
-	const hosts = Array.from({length: hostCount}, () => {
+	const hosts = Array.from({length: hostCount}, (_, hostIndex) => {
 		const pool = new ServerPool();
 		pool.update(servers);
 		const recorder = new ReleaseRecorder(service => {
@@ -179,7 +179,9 @@
 		});
 		const budget = new RetryBudget(0.5, 4);
 		const forwarder = createTestForwarder({
-			clock, lease: {expiresAt: Infinity, isValid: () => true}, random, pool, port: new ScriptedPort(answer), budget: () => budget, observer: recorder, state: () => ({table, rollouts: state.serviceRollouts, hostCount}),
+			clock, lease: {expiresAt: Infinity, isValid: () => true}, random, pool, port: new ScriptedPort(answer), budget: () => budget, observer: recorder, state: () => ({
+				table, rollouts: state.serviceRollouts, hostCount, hostIndex,
+			}),
 		});
 		return {forwarder, recorder};
 	});
