Keep the request limits that servers name, divided among the hosts by time slots

Cause: nothing read the limit, and nothing in the product could limit the rate of one server over all hosts. Evidence: no line and no metric mentioned a limit, the rates of both servers did not change when they named it. Ruled out: a limit applied by each host for itself (no such code); answers that do not arrive (nearly all did). Change: hosts share a limit without messages. Each slot of one request belongs to one host by turns; unused slots are lost, so idle hosts cannot send together later. A request that finds no server with a slot is refused at once as not run. An answer that was asked for before the limit was named does not lift it. Left: with many hosts the end of a limit reaches each host only at its next slot.

--- a/src/common/forwarding/choose-server.ts
+++ b/src/common/forwarding/choose-server.ts
@@ -1,14 +1,22 @@
 import {type AdmittedRequest} from './forwarder.js';
 import {type ForwardServices} from './forward-services.js';
+import {type LimitShare} from './request-limit.js';
 import {serversForRelease} from './servers-for-release.js';
 import {type ServerRecord} from './server-pool.js';
 
-/** Chooses the backend server of an attempt: not draining, not tried, and of the release that a roll-out assigns to the session. */
+/** Returns the place of this host among those that share the request limits of backend servers. */
+export function limitShare({clock, state}: Pick<ForwardServices, 'clock' | 'state'>): LimitShare {
+	const {hostCount, hostIndex} = state();
+	return {wallTime: clock.wallTime(), hostCount, hostIndex};
+}
+
+/** Chooses the backend server of an attempt: not draining, not tried, within its request limit, and of the release that a roll-out assigns to the session. */
 export function chooseServer({pool, placement, state, sessions, clock, zone}: ForwardServices, {req, service}: AdmittedRequest, tried: ReadonlySet<string>): ServerRecord | undefined {
 	const parts = req.generation?.parts ?? [];
 	const rollout = state().rollouts.get(service);
 	const session = {key: req.session ?? parts.at(-1)?.id ?? req.id, isSticky: req.session !== undefined && sessions.isSticky(req.session)};
-	const untried = pool.notDraining(service).filter(({key}) => !tried.has(key));
+	const share = limitShare({clock, state});
+	const untried = pool.notDraining(service).filter(({key, limit}) => !tried.has(key) && limit.allows(share));
 	const candidates = serversForRelease(rollout, session, untried, clock.now());
 	// The last part belongs to this request alone. The part before it stands for the longest prefix shared with other requests.
 	const affinityKey = parts.at(-2)?.id ?? parts[0]?.id;
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -5,7 +5,7 @@
 import {type AttemptEvents, type AttemptFailure} from './backend-port.js';
 import {type CallerSink} from './caller-sink.js';
 import {attemptTerms} from './attempt-terms.js';
-import {chooseServer} from './choose-server.js';
+import {chooseServer, limitShare} from './choose-server.js';
 import {type EscalatingRequest, Escalation} from './escalation.js';
 import {type AnswerHead} from './forward-request.js';
 import {type ForwardServices} from './forward-services.js';
@@ -144,6 +144,7 @@
 		}, now));
 		this._current = attempt;
 		this._attempts.add(record.key);
+		record.limit.recordSent(limitShare(this._services));
 		// A held answer has a timeout of its own.
 		this._delivery.awaitHead(!this._escalation.isHolding);
 		attempt.handle = port.send(this._admitted.req.message, attemptTerms(this._services, this._admitted, record, {
--- a/src/common/forwarding/request-limit.test.ts
+++ b/src/common/forwarding/request-limit.test.ts
@@ -66,7 +66,7 @@
 
 // Guards against an answer from before the limit that arrives late and lifts it.
 it('keeps a limit when an earlier request is answered without one', () => {
-	const limit = new RequestLimit();
+	const limit = new RequestLimit('a');
 	limit.update(2, 100, 200);
 	expect(limit.update(undefined, 150, 250)).toBe(false);
 	expect(limit.perSecond).toBe(2);
--- a/src/common/forwarding/server-pool.ts
+++ b/src/common/forwarding/server-pool.ts
@@ -8,13 +8,15 @@
 /** A process of a backend server, with the state that this host derives from its own requests. */
 export class ServerRecord {
 	readonly health = new BackendHealth();
-	readonly limit = new RequestLimit();
+	readonly limit: RequestLimit;
 	/** Number of attempts of this host in flight. */
 	inFlight = 0;
 	/** Time until which the backend server counts as overloaded after it refused a request. */
 	overloadedUntil = 0;
 
-	constructor(public server: BackendServer) {}
+	constructor(public server: BackendServer) {
+		this.limit = new RequestLimit(server.id);
+	}
 
 	get key(): string {
 		return backendKey(this.server);
