--- a/src/common/release/release-judge.test.ts
+++ b/src/common/release/release-judge.test.ts
@@ -88,3 +88,37 @@
 		...good, sent: 180, answers: 180, failures: bad.failures,
 	}]).verdict).toBe(releaseVerdict.bad);
 });
+
+// Guards against a good release that is not completed because chance makes a few answers of a small trial slow, and against a
+// slow one that is.
+it.each([
+	{
+		slowHeads: 0, slowBodies: 3, answers: 10, verdict: releaseVerdict.good,
+	},
+	{
+		slowHeads: 3, slowBodies: 3, answers: 9, verdict: releaseVerdict.undecided,
+	},
+	{
+		slowHeads: 0, slowBodies: 5, answers: 10, verdict: releaseVerdict.undecided,
+	},
+	{
+		slowHeads: 0, slowBodies: 8, answers: 14, verdict: releaseVerdict.bad,
+	},
+])('judges a release with $slowHeads slow heads and $slowBodies slow bodies of $answers answers of one route as $verdict', ({slowHeads, slowBodies, answers, verdict}) => {
+	const histogram = (count: number, slow: number): number[] => {
+		const values: number[] = [];
+		for (let index = 0; index < count; index++) {
+			addValue(values, index < slow ? 100 * slowBodyFactor : 100);
+		}
+
+		return values;
+	};
+
+	const row = (release: string, route: string, count: number, slow: {heads: number; bodies: number}): ReleaseCounts => ({
+		service: 's', release, route, sent: count, answers: count, failures: 0, broken: 0, headMs: histogram(count, slow.heads), paceUs: histogram(count, slow.bodies),
+	});
+
+	const none = {heads: 0, bodies: 0};
+	const rows = [row('old', 'one', 150, none), row('old', 'two', 150, none), row('new', 'one', answers, {heads: slowHeads, bodies: slowBodies}), row('new', 'two', 15, none)];
+	expect(new ReleaseJudge('new').judge(rows).verdict).toBe(verdict);
+});
