Sum the evidence of each roll-out by itself, as it arrives

Cause: the leader keyed the counts of a host without the roll-out. With a second roll-out of a service in the same leadership the host's counts start anew, and the leader kept the larger ones of the first: stale shares, and no request rate for the exposure limit. It also summed all rows of all hosts every 0.2 s, which grows with hosts times routes and histograms. Ruled out: the recorder (it resets by revision and is tested).

--- a/src/common/release/release-evidence.ts
+++ b/src/common/release/release-evidence.ts
@@ -3,6 +3,8 @@
 
 /** Outcomes of one route and model at one release since the start of the roll-out, counted by one process of an entry host. */
 export interface ReleaseCounts {
+	/** Revision of the start of the roll-out. */
+	readonly rollout: number;
 	readonly service: string;
 	readonly release: string;
 	readonly route: string;
--- a/src/common/release/release-judge.test.ts
+++ b/src/common/release/release-judge.test.ts
@@ -20,7 +20,7 @@
 	}
 
 	return {
-		service: 's', release, route, sent: answers, answers, failures, broken: 0, headMs, paceUs,
+		rollout: 1, service: 's', release, route, sent: answers, answers, failures, broken: 0, headMs, paceUs,
 	};
 }
 
@@ -115,7 +115,7 @@
 	};
 
 	const row = (release: string, route: string, count: number, slow: {heads: number; bodies: number}): ReleaseCounts => ({
-		service: 's', release, route, sent: count, answers: count, failures: 0, broken: 0, headMs: histogram(count, slow.heads), paceUs: histogram(count, slow.bodies),
+		rollout: 1, service: 's', release, route, sent: count, answers: count, failures: 0, broken: 0, headMs: histogram(count, slow.heads), paceUs: histogram(count, slow.bodies),
 	});
 
 	const none = {heads: 0, bodies: 0};
--- a/src/common/release/release-recorder.ts
+++ b/src/common/release/release-recorder.ts
@@ -3,7 +3,7 @@
 import {type ReleaseCounts, releaseSection} from './release-evidence.js';
 import {addValue} from './value-histogram.js';
 
-type Row = Pick<ReleaseCounts, 'service' | 'release' | 'route' | 'model'> & {
+type Row = Pick<ReleaseCounts, 'rollout' | 'service' | 'release' | 'route' | 'model'> & {
 	sent: number;
 	answers: number;
 	failures: number;
@@ -89,7 +89,7 @@
 		let row = this._rows.get(key);
 		if (!row) {
 			row = {
-				service, release, route, model, sent: 0, answers: 0, failures: 0, broken: 0, headMs: [], paceUs: [],
+				rollout: revision, service, release, route, model, sent: 0, answers: 0, failures: 0, broken: 0, headMs: [], paceUs: [],
 			};
 			this._rows.set(key, row);
 		}
--- a/src/common/release/release-supervisor.test.ts
+++ b/src/common/release/release-supervisor.test.ts
@@ -26,7 +26,7 @@
 type Faults = (elapsedMs: number, share: number) => {readonly failureShare: number; readonly latencyMs: number};
 
 /** Simulates a roll-out. @returns its final state, the new release's share of all answers and the time at which it ended. */
-async function simulate(faults: Faults, leaderChangeAt?: number): Promise<{state: string; exposure: number; endedAt: number}> {
+async function simulate(faults: Faults, leaderChangeAt?: number, hasEarlierRollout = false): Promise<{state: string; exposure: number; endedAt: number}> {
 	const clock = new ManualClock();
 	const state = new ControlState();
 	const log = new LocalLog<ControlCommand, ControlResult>('a', state);
@@ -38,9 +38,24 @@
 		await log.propose({type: 'backend-joined', server: backend(release), at: 0}); // eslint-disable-line no-await-in-loop -- one after another
 	}
 
+	const earlier: ReleaseCounts[] = [];
+	if (hasEarlierRollout) {
+		await log.propose({
+			type: 'start-service-rollout', service: 's', target: 'earlier', durationMs, at: clock.wallTime(),
+		});
+		earlier.push({
+			rollout: state.serviceRollouts.get('s')!.revision, service: 's', release: 'old', route: 'r', sent: 10_000, answers: 10_000, failures: 9000, broken: 0, headMs: [10_000], paceUs: [],
+		});
+		supervisor.receive({host: 'e', incarnation: 1}, earlier);
+		await log.propose({
+			type: 'service-rollout-step', service: 's', target: 'earlier', state: 'reverted', share: 0, reason: '', holdsSessions: true,
+		});
+	}
+
 	await log.propose({
 		type: 'start-service-rollout', service: 's', target: 'new', durationMs, at: clock.wallTime(),
 	});
+	supervisor.receive({host: 'e', incarnation: 1}, earlier);
 	const createSum = () => ({answers: 0, failures: 0, headMs: [] as number[]});
 	const sums = {old: createSum(), new: createSum()};
 	const add = (release: 'old' | 'new', answers: number, failureShare: number, latencyMs: number) => {
@@ -70,7 +85,7 @@
 		add('new', fresh, failureShare, latencyMs);
 		add('old', answersPerSecond - fresh, 0, 100);
 		const counts: ReleaseCounts[] = (['old', 'new'] as const).map(release => ({
-			service: 's', release, route: 'r', sent: sums[release].answers, broken: 0, paceUs: [], ...sums[release], headMs: [...sums[release].headMs],
+			rollout: rollout.revision, service: 's', release, route: 'r', sent: sums[release].answers, broken: 0, paceUs: [], ...sums[release], headMs: [...sums[release].headMs],
 		}));
 		supervisor.receive({host: 'e', incarnation: 1}, counts);
 		await clock.advance(1000); // eslint-disable-line no-await-in-loop -- time advances step by step
@@ -83,7 +98,7 @@
 }
 
 // Guards against a bad release that is not reverted or receives too many requests, and a good one that is not completed.
-it.each<{name: string; faults: Faults; state: string; leaderChangeAt?: number}>([
+it.each<{name: string; faults: Faults; state: string; leaderChangeAt?: number; hasEarlierRollout?: boolean}>([
 	{name: 'a good release', faults: () => ({failureShare: 0, latencyMs: 100}), state: 'completed'},
 	{
 		name: 'a good release across a leader change', faults: () => ({failureShare: 0, latencyMs: 100}), state: 'completed', leaderChangeAt: 8000,
@@ -95,8 +110,14 @@
 	{
 		name: 'a failing release across a leader change', faults: elapsedMs => ({failureShare: elapsedMs > 8000 ? 0.5 : 0, latencyMs: 100}), state: 'reverted', leaderChangeAt: 8000,
 	},
-])('ends the roll-out of $name as $state', async ({faults, state, leaderChangeAt}) => {
-	const result = await simulate(faults, leaderChangeAt);
+	{
+		name: 'a failing release after another roll-out', faults: () => ({failureShare: 0.5, latencyMs: 100}), state: 'reverted', hasEarlierRollout: true,
+	},
+	{
+		name: 'a good release after another roll-out', faults: () => ({failureShare: 0, latencyMs: 100}), state: 'completed', hasEarlierRollout: true,
+	},
+])('ends the roll-out of $name as $state', async ({faults, state, leaderChangeAt, hasEarlierRollout}) => {
+	const result = await simulate(faults, leaderChangeAt, hasEarlierRollout);
 	expect(result.state).toBe(state);
 	expect(result.endedAt).toBeLessThanOrEqual(durationMs);
 	if (state === 'reverted') {
--- a/src/common/release/release-supervisor.ts
+++ b/src/common/release/release-supervisor.ts
@@ -15,6 +15,7 @@
 import {
 	allowedStage, releaseStage, type ReleaseStage, trialShare,
 } from './release-schedule.js';
+import {ReleaseTotals} from './release-totals.js';
 import {ReleaseTraffic} from './release-traffic.js';
 
 /** Dependencies of `ReleaseSupervisor`. */
@@ -30,6 +31,7 @@
 /** What this leader knows of a roll-out. */
 interface Observation {
 	readonly revision: number;
+	readonly totals: ReleaseTotals;
 	readonly judge: ReleaseJudge;
 	readonly traffic: ReleaseTraffic;
 	loggedAt: number;
@@ -43,7 +45,6 @@
 /** Advances roll-outs of releases at the leader, based on the evidence of all entry hosts, and reverts bad releases. */
 export class ReleaseSupervisor implements LeaderSection<readonly ReleaseCounts[], never>, Disposable {
 	readonly section = releaseSection;
-	private readonly _rows = new Map<string, ReleaseCounts>();
 	private readonly _observations = new Map<string, Observation>();
 	private readonly _sweep: PeriodicSweep;
 	private _isProposing = false;
@@ -55,17 +56,15 @@
 	}
 
 	reset(): void {
-		this._rows.clear();
 		this._observations.clear();
 	}
 
-	receive({host, incarnation}: RenewalSender, rows: readonly ReleaseCounts[]): void {
+	receive(sender: RenewalSender, rows: readonly ReleaseCounts[]): void {
 		for (const counts of rows) {
-			const {service, release, route, model, sent} = counts;
-			const key = JSON.stringify([host, incarnation, service, release, route, model]);
-			const known = this._rows.get(key);
-			if (!known || known.sent <= sent) {
-				this._rows.set(key, counts);
+			const rollout = this._options.state.serviceRollouts.get(counts.service);
+			// A host that has not applied the start of a roll-out yet still sends the counts of the one before.
+			if (rollout?.state === serviceRolloutState.inProgress && rollout.revision === counts.rollout) {
+				this._observe(rollout).totals.receive(sender, counts);
 			}
 		}
 	}
@@ -93,12 +92,11 @@
 
 	private _advance(rollout: ServiceRollout): void {
 		const {clock} = this._options;
-		const {service, startedAt, durationMs, share} = rollout;
+		const {startedAt, durationMs, share} = rollout;
 		const observation = this._observe(rollout);
-		const {judge, traffic} = observation;
-		const rows = [...this._rows.values()].filter(counts => counts.service === service);
-		traffic.update(rows, clock.now());
-		const judged = judge.judge(rows);
+		const {judge, traffic, totals} = observation;
+		traffic.update(totals.rows, clock.now());
+		const judged = judge.judge(totals.rows);
 		const elapsedMs = clock.wallTime() - startedAt;
 		const {old, target} = this._serverCounts(rollout);
 		const {exposed, all, perSecond} = traffic;
@@ -136,7 +134,7 @@
 		let observation = this._observations.get(service);
 		if (observation?.revision !== revision) {
 			observation = {
-				revision, judge: new ReleaseJudge(target), traffic: new ReleaseTraffic(target), loggedAt: -Infinity,
+				revision, totals: new ReleaseTotals(), judge: new ReleaseJudge(target), traffic: new ReleaseTraffic(target), loggedAt: -Infinity,
 			};
 			this._observations.set(service, observation);
 		}
