--- a/src/common/release/release-exposure.test.ts
+++ b/src/common/release/release-exposure.test.ts
@@ -1,5 +1,6 @@
 import {expect, it} from 'vitest';
-import {playRollout, type SimulatedAnswer, type SimulatedRollout} from '../../testing/rollout-simulation.js';
+import {type SimulatedAnswer} from '../../testing/loaded-servers.js';
+import {playRollout, type SimulatedRollout} from '../../testing/rollout-simulation.js';
 import {serviceRolloutState, type ServiceRolloutState} from '../control/service-rollout.js';
 
 /** Share of the requests, and requests in addition, that a bad release may receive, as specified by the users. */
--- a/src/common/release/release-judge.test.ts
+++ b/src/common/release/release-judge.test.ts
@@ -2,7 +2,7 @@
 import {SeededRandom} from '../base/seeded-random.js';
 import {type ReleaseCounts} from './release-evidence.js';
 import {ReleaseJudge, type ReleaseVerdict, releaseVerdict} from './release-judge.js';
-import {addValue} from './value-histogram.js';
+import {addValue, sizeOf} from './value-histogram.js';
 
 /** `slowBodyShare` is the share of the answers whose body takes several times as long. */
 type Load = {readonly answers: number; readonly failureShare: number; readonly latencyMs: number; readonly slowBodyShare?: number};
@@ -122,3 +122,30 @@
 	const rows = [row('old', 'one', 150, none), row('old', 'two', 150, none), row('new', 'one', answers, {heads: slowHeads, bodies: slowBodies}), row('new', 'two', 15, none)];
 	expect(new ReleaseJudge('new').judge(rows).verdict).toBe(verdict);
 });
+
+// Guards against a good release that is rejected because the load has grown: answers that were slow at first are as slow as those
+// of the previous release now.
+it('forgets slow answers when the previous release becomes as slow', () => {
+	const judge = new ReleaseJudge('new');
+	const histogram = (values: ReadonlyArray<readonly [paceUs: number, count: number]>) => {
+		const paceUs: number[] = [];
+		for (const [value, count] of values) {
+			for (let index = 0; index < count; index++) {
+				addValue(paceUs, value);
+			}
+		}
+
+		return paceUs;
+	};
+
+	const row = (release: string, paceUs: readonly number[]): ReleaseCounts => ({
+		rollout: 1, service: 's', release, route: 'r', sent: sizeOf(paceUs), answers: sizeOf(paceUs), failures: 0, broken: 0, headMs: [], paceUs,
+	});
+	const usual = histogram([[100, 40]]);
+	const loaded = histogram([[100, 40], [400, 200]]);
+	const judgeWith = (base: readonly number[], target: readonly number[]) => judge.judge([row('old', base), row('new', target)]).verdict;
+	expect(judgeWith(usual, histogram([[400, 5]]))).toBe(releaseVerdict.undecided);
+	expect(judgeWith(loaded, histogram([[400, 6]]))).not.toBe(releaseVerdict.bad);
+	expect(judgeWith(loaded, histogram([[400, 6], [3000, 2]]))).not.toBe(releaseVerdict.bad);
+	expect(judgeWith(loaded, histogram([[400, 6], [3000, 9]]))).toBe(releaseVerdict.bad);
+});
