Name the comparison of releases apart from the trial stage

Cause: 'trial' meant both a stage of a roll-out and a pair of samples; 'respect' reads oddly. Names only: Comparison, aspect. 56 tests of release pass.

--- a/src/common/release/release-trial.ts
+++ b/src/common/release/release-comparison.ts
@@ -3,27 +3,28 @@
 	binsFor, countAbove, quantileBin, sizeOf, sumOf, type ValueHistogram,
 } from './value-histogram.js';
 
-/** A number of answers and how many of them are bad in one respect. */
+/** A number of answers and how many of them are bad in one aspect. */
 export interface Sample {
 	readonly count: number;
 	readonly bad: number;
 }
 
-/** The samples of both releases in one respect. */
-export interface Trial {
+/** The samples of both releases in one aspect. */
+export interface Comparison {
 	readonly target: Sample;
 	readonly base: Sample;
 }
 
-/** Respects in which the answers of two releases are compared. */
-export const respect = {
+/** Aspects in which the answers of two releases are compared. */
+export const aspect = {
 	failures: 'failures',
 	broken: 'broken',
 	head: 'head',
 	pace: 'pace',
 } as const;
-export type Respect = typeof respect[keyof typeof respect];
-export const respects: readonly Respect[] = Object.values(respect);
+export type Aspect = typeof aspect[keyof typeof aspect];
+/** All aspects. */
+export const aspects: readonly Aspect[] = Object.values(aspect);
 
 /** Counts of one route and model at both releases. */
 export interface Stratum {
@@ -42,6 +43,7 @@
 /** Minimum multiple of the median of the previous release from which an answer is slow. */
 const slowFactor = 3;
 
+/** A sum of nothing. */
 export const noOutcomes: Outcomes = {
 	sent: 0, answers: 0, failures: 0, broken: 0, headMs: [], paceUs: [],
 };
@@ -58,42 +60,43 @@
 	};
 }
 
-/** Returns the samples of a route and model in one respect. */
-export function trialOf({target, base}: Stratum, one: Respect): Trial {
+/** Returns the samples of a route and model in one aspect. */
+export function comparisonOf({target, base}: Stratum, one: Aspect): Comparison {
 	switch (one) {
-		case respect.failures: {
+		case aspect.failures: {
 			return {target: {count: target.answers, bad: target.failures}, base: {count: base.answers, bad: base.failures}};
 		}
 
-		case respect.broken: {
+		case aspect.broken: {
 			return {target: {count: target.answers, bad: target.broken}, base: {count: base.answers, bad: base.broken}};
 		}
 
-		case respect.head: {
-			return slowTrial(target.headMs, base.headMs);
+		case aspect.head: {
+			return slowComparison(target.headMs, base.headMs);
 		}
 
-		case respect.pace: {
-			return slowTrial(target.paceUs, base.paceUs);
+		case aspect.pace: {
+			return slowComparison(target.paceUs, base.paceUs);
 		}
 	}
 }
 
-/** Adds the samples of two trials. */
-export function addTrials(left: Trial, right: Trial): Trial {
+/** Adds the samples of two comparisons. */
+export function addComparisons(left: Comparison, right: Comparison): Comparison {
 	return {
 		target: {count: left.target.count + right.target.count, bad: left.target.bad + right.target.bad},
 		base: {count: left.base.count + right.base.count, bad: left.base.bad + right.base.bad},
 	};
 }
 
-export const noTrial: Trial = {target: {count: 0, bad: 0}, base: {count: 0, bad: 0}};
+/** Samples without answers. */
+export const noComparison: Comparison = {target: {count: 0, bad: 0}, base: {count: 0, bad: 0}};
 
 /** Counts the slow answers of both releases. Without enough values of the previous release nothing is compared. */
-function slowTrial(target: ValueHistogram, base: ValueHistogram): Trial {
+function slowComparison(target: ValueHistogram, base: ValueHistogram): Comparison {
 	const count = sizeOf(base);
 	if (count < minBaseValues) {
-		return noTrial;
+		return noComparison;
 	}
 
 	const bin = Math.max(quantileBin(base, slowQuantile), quantileBin(base, 0.5) + binsFor(slowFactor));
--- a/src/common/release/release-judge.ts
+++ b/src/common/release/release-judge.ts
@@ -1,8 +1,8 @@
 import {logLikelihoodRatio} from '../evidence/log-likelihood-ratio.js';
 import {type ReleaseCounts} from './release-evidence.js';
 import {
-	addOutcomes, addTrials, noOutcomes, noTrial, type Outcomes, respect, type Respect, respects, type Sample, type Stratum, type Trial, trialOf,
-} from './release-trial.js';
+	addOutcomes, addComparisons, noOutcomes, noComparison, type Outcomes, aspect, type Aspect, aspects, type Sample, type Stratum, type Comparison, comparisonOf,
+} from './release-comparison.js';
 
 /** Result of the comparison of a release with the previous one. */
 export const releaseVerdict = {
@@ -18,8 +18,8 @@
 	readonly verdict: ReleaseVerdict;
 	readonly reason: string;
 	readonly answers: number;
-	/** Bad answers by respect. */
-	readonly bad: Readonly<Record<Respect, number>>;
+	/** Bad answers by aspect. */
+	readonly bad: Readonly<Record<Aspect, number>>;
 }
 
 /** False positive rate of each test: the share of good releases that it rejects. */
@@ -27,7 +27,7 @@
 /** False negative rate of each test: the share of bad releases that it accepts. */
 const falseNegativeRate = 0.005;
 /** Minimum share of bad answers that is assumed for the previous release, so that few of them do not make the new one bad. */
-const minBaseShare: Readonly<Record<Respect, number>> = {
+const minBaseShare: Readonly<Record<Aspect, number>> = {
 	failures: 0.02,
 	// A single server that crashes breaks one answer at each host.
 	broken: 0.2,
@@ -47,11 +47,11 @@
 const minRecentAnswers = 40;
 const rejectAt = Math.log((1 - falseNegativeRate) / falsePositiveRate);
 const acceptAt = Math.log(falseNegativeRate / (1 - falsePositiveRate));
-/** Evidence for "bad" in one respect from which a release is not good. */
+/** Evidence for "bad" in one aspect from which a release is not good. */
 const doubtAt = rejectAt / 2;
 const allRoutes = 'all routes';
-/** Respects that are tested together; slow servers show in both heads and bodies. */
-const tests: ReadonlyArray<readonly Respect[]> = [[respect.failures], [respect.broken], [respect.head], [respect.pace], [respect.head, respect.pace]];
+/** Aspects that are tested together; slow servers show in both heads and bodies. */
+const tests: ReadonlyArray<readonly Aspect[]> = [[aspect.failures], [aspect.broken], [aspect.head], [aspect.pace], [aspect.head, aspect.pace]];
 
 /**
 Judges a release by the evidence of all hosts: failures, broken answers and slow ones, for each route and for all together.
@@ -60,9 +60,9 @@
 rejection: chance alone makes a few of the answers of a small trial slow.
 */
 export class ReleaseJudge {
-	/** Cumulative sum of each test, by route and respects. */
+	/** Cumulative sum of each test, by route and aspects. */
 	private readonly _sums = new Map<string, number>();
-	/** Last sample of each route and respect. */
+	/** Last sample of each route and aspect. */
 	private readonly _samples = new Map<string, Sample>();
 	/** Counts of each route and model before the trial. */
 	private _before: ReadonlyMap<string, Outcomes> = new Map();
@@ -83,24 +83,24 @@
 			routes.set(stratum.route, [...(routes.get(stratum.route) ?? []), stratum]);
 		}
 
-		const all = new Map(respects.map(one => [one, noTrial]));
+		const all = new Map(aspects.map(one => [one, noComparison]));
 		let doubt = '';
 		let rejection = '';
 		for (const [route, parts] of routes) {
-			const trials = new Map(respects.map(one => [one, sumTrials(parts, one)]));
-			for (const [one, trial] of trials) {
-				all.set(one, addTrials(all.get(one)!, trial));
+			const comparisons = new Map(aspects.map(one => [one, sumComparisons(parts, one)]));
+			for (const [one, comparison] of comparisons) {
+				all.set(one, addComparisons(all.get(one)!, comparison));
 			}
 
-			rejection ||= this._reject(route, trials);
-			doubt ||= doubtOf(route, trials, 0);
+			rejection ||= this._reject(route, comparisons);
+			doubt ||= doubtOf(route, comparisons, 0);
 		}
 
 		rejection ||= this._reject(allRoutes, all);
 		doubt ||= doubtOf(allRoutes, all, acceptAt);
 		const counts = {
-			answers: all.get(respect.failures)!.target.count,
-			bad: Object.fromEntries(respects.map(one => [one, all.get(one)!.target.bad])) as Record<Respect, number>,
+			answers: all.get(aspect.failures)!.target.count,
+			bad: Object.fromEntries(aspects.map(one => [one, all.get(one)!.target.bad])) as Record<Aspect, number>,
 		};
 		if (rejection) {
 			return {verdict: releaseVerdict.bad, reason: rejection, ...counts};
@@ -110,8 +110,8 @@
 	}
 
 	/** Adds the latest answers of a route to the cumulative sums of its tests. @returns why the release is bad; empty when it is not. */
-	private _reject(route: string, trials: ReadonlyMap<Respect, Trial>): string {
-		const evidence = new Map([...trials].map(([one, trial]) => [one, this._latestEvidence(route, one, trial)]));
+	private _reject(route: string, comparisons: ReadonlyMap<Aspect, Comparison>): string {
+		const evidence = new Map([...comparisons].map(([one, comparison]) => [one, this._latestEvidence(route, one, comparison)]));
 		let rejection = '';
 		for (const test of tests) {
 			const key = `${route}/${test.join('+')}`;
@@ -122,7 +122,7 @@
 
 			this._sums.set(key, Math.max(0, sum));
 			if (sum >= rejectAt) {
-				rejection ||= test.map(one => describe(route, one, trials.get(one)!)).join('; ');
+				rejection ||= test.map(one => describe(route, one, comparisons.get(one)!)).join('; ');
 			}
 		}
 
@@ -130,9 +130,9 @@
 	}
 
 	/** Returns what the answers since the last judgement say; above zero against the release. */
-	private _latestEvidence(route: string, one: Respect, {target, base}: Trial): number {
+	private _latestEvidence(route: string, one: Aspect, {target, base}: Comparison): number {
 		const key = `${route}/${one}`;
-		const last = this._samples.get(key) ?? noTrial.target;
+		const last = this._samples.get(key) ?? noComparison.target;
 		this._samples.set(key, target);
 		// The bound of slow answers moves with the previous release. Earlier answers that are no longer slow count back.
 		return ratioOf({target: {count: target.count - last.count, bad: target.bad - last.bad}, base}, one);
@@ -161,10 +161,10 @@
 	}
 }
 
-function sumTrials(strata: readonly Stratum[], one: Respect): Trial {
-	let sum = noTrial;
+function sumComparisons(strata: readonly Stratum[], one: Aspect): Comparison {
+	let sum = noComparison;
 	for (const stratum of strata) {
-		sum = addTrials(sum, trialOf(stratum, one));
+		sum = addComparisons(sum, comparisonOf(stratum, one));
 	}
 
 	return sum;
@@ -172,28 +172,28 @@
 
 /**
 Returns why the answers of a route keep a release from being good; empty when they do not. Each route counts, because the
-answers of others could hide its bad ones. Chance alone makes a few answers of a small trial slow in one respect, so slow heads
+answers of others could hide its bad ones. Chance alone makes a few answers of a small trial slow in one aspect, so slow heads
 and bodies are weighed together.
 */
-function doubtOf(route: string, trials: ReadonlyMap<Respect, Trial>, failuresBound: number): string {
-	const ratio = (one: Respect) => ratioOf(trials.get(one)!, one);
-	const failures = trials.get(respect.failures)!;
-	if (failures.target.count < Math.min(minRouteAnswers, Math.floor(failures.base.count * minRouteShare)) || ratio(respect.failures) > failuresBound) {
-		return describe(route, respect.failures, failures);
+function doubtOf(route: string, comparisons: ReadonlyMap<Aspect, Comparison>, failuresBound: number): string {
+	const ratio = (one: Aspect) => ratioOf(comparisons.get(one)!, one);
+	const failures = comparisons.get(aspect.failures)!;
+	if (failures.target.count < Math.min(minRouteAnswers, Math.floor(failures.base.count * minRouteShare)) || ratio(aspect.failures) > failuresBound) {
+		return describe(route, aspect.failures, failures);
 	}
 
-	const slower = ratio(respect.head) > ratio(respect.pace) ? respect.head : respect.pace;
-	const isSlow = ratio(respect.head) + ratio(respect.pace) > 0;
-	const doubtful = isSlow ? slower : respects.find(one => one !== respect.failures && ratio(one) > doubtAt);
-	return doubtful ? describe(route, doubtful, trials.get(doubtful)!) : '';
+	const slower = ratio(aspect.head) > ratio(aspect.pace) ? aspect.head : aspect.pace;
+	const isSlow = ratio(aspect.head) + ratio(aspect.pace) > 0;
+	const doubtful = isSlow ? slower : aspects.find(one => one !== aspect.failures && ratio(one) > doubtAt);
+	return doubtful ? describe(route, doubtful, comparisons.get(doubtful)!) : '';
 }
 
 /** Logarithm of the likelihood ratio of a bad release to one like the previous one. */
-function ratioOf({target, base}: Trial, one: Respect): number {
+function ratioOf({target, base}: Comparison, one: Aspect): number {
 	const baseShare = Math.min(maxBaseShare, Math.max(minBaseShare[one], (base.bad + 0.5) / (base.count + 1)));
 	return logLikelihoodRatio(target.bad, target.count - target.bad, Math.min(0.95, baseShare + badShareIncrease), baseShare);
 }
 
-function describe(route: string, one: Respect, {target, base}: Trial): string {
+function describe(route: string, one: Aspect, {target, base}: Comparison): string {
 	return `${one} of ${route}: ${target.bad} of ${target.count} answers, ${base.bad} of ${base.count} before`;
 }
--- a/src/common/release/release-totals.ts
+++ b/src/common/release/release-totals.ts
@@ -1,6 +1,6 @@
 import {type RenewalSender} from '../control/leader-section.js';
 import {type ReleaseCounts} from './release-evidence.js';
-import {addOutcomes} from './release-trial.js';
+import {addOutcomes} from './release-comparison.js';
 
 /** Sums of the counts of all hosts for one roll-out. Each message changes the sums by what is new in it, so reading them is cheap. */
 export class ReleaseTotals {
