Keep reverted releases out of the next roll-out

Cause: the record of the new roll-out replaced the one of the reverted one, and every server of another release than the target counted as the previous release; the reverted servers leave only seconds later. Evidence: the entry hosts' lines show five attempts at servers of v2 sent at 16.2 s to 16.5 s, after the order of v3 at 16.2 s. Ruled out: sessions that end late on v2 alone (new attempts were sent there). New cases in servers-for-release.test.ts and routing-state.test.ts; 198 tests of control state, release and forwarding pass.

--- a/src/common/control/routing-state.test.ts
+++ b/src/common/control/routing-state.test.ts
@@ -33,3 +33,30 @@
 		target, state: 'in-progress', share: 0, revision: 1,
 	});
 });
+
+// Guards against a release that was reverted and counts as the previous one in the next roll-out.
+it.each([
+	{ends: ['reverted'], targets: ['v2', 'v3'], rejected: ['v2']},
+	{ends: ['reverted', 'reverted'], targets: ['v2', 'v3', 'v4'], rejected: ['v2', 'v3']},
+	{ends: ['reverted', 'reverted'], targets: ['v2', 'v3', 'v2'], rejected: ['v3']},
+	{ends: ['completed'], targets: ['v2', 'v3'], rejected: []},
+] as const)('remembers $rejected after roll-outs of $targets that end as $ends', ({ends, targets, rejected}) => {
+	const state = new ControlState();
+	let index = 0;
+	for (const [position, target] of targets.entries()) {
+		state.apply(++index, {
+			type: 'start-service-rollout', service: 's', target, durationMs: 1000, at: 0,
+		});
+		const end = ends[position];
+		if (end) {
+			state.apply(++index, {
+				type: 'service-rollout-step', service: 's', target, state: end, share: 0, reason: '', holdsSessions: false,
+			});
+		}
+	}
+
+	expect(state.serviceRollouts.get('s')?.rejected).toEqual(rejected);
+	const copy = new ControlState();
+	copy.restore(structuredClone(state.snapshot()));
+	expect(copy.serviceRollouts.get('s')?.rejected).toEqual(rejected);
+});
--- a/src/common/control/service-rollout-table.ts
+++ b/src/common/control/service-rollout-table.ts
@@ -2,6 +2,9 @@
 import {type ControlResult} from './control-result.js';
 import {serviceRolloutState, type ServiceRollout} from './service-rollout.js';
 
+/** Maximum number of rejected releases that are remembered; the servers of earlier ones have left. */
+const maxRejected = 8;
+
 /** Roll-outs of releases by service, part of the control state. */
 export class ServiceRolloutTable {
 	readonly rollouts = new Map<string, ServiceRollout>();
@@ -20,7 +23,7 @@
 		}
 
 		this.rollouts.set(service, {
-			service, target, durationMs, startedAt: at, revision: index, share: 0, holdsSessions: true, state: serviceRolloutState.inProgress,
+			service, target, rejected: rejectedBefore(current, target), durationMs, startedAt: at, revision: index, share: 0, holdsSessions: true, state: serviceRolloutState.inProgress,
 		});
 		return {status: 'accepted', revision: index};
 	}
@@ -49,3 +52,9 @@
 		}
 	}
 }
+
+/** Returns the releases that earlier roll-outs reverted, without the one that is tried again. */
+function rejectedBefore(last: ServiceRollout | undefined, target: string): readonly string[] {
+	const rejected = [...(last?.rejected ?? []), ...(last?.state === serviceRolloutState.reverted ? [last.target] : [])];
+	return [...new Set(rejected)].filter(release => release !== target).slice(-maxRejected);
+}
--- a/src/common/control/service-rollout.ts
+++ b/src/common/control/service-rollout.ts
@@ -11,6 +11,8 @@
 	readonly service: string;
 	/** Release that the traffic moves to. */
 	readonly target: string;
+	/** Releases that earlier roll-outs of the service reverted; their servers may still be listed. Absent in records of older builds. */
+	readonly rejected?: readonly string[];
 	readonly state: ServiceRolloutState;
 	/** Share of the sessions that go to the target while the roll-out is in progress. */
 	readonly share: number;
--- a/src/common/forwarding/servers-for-release.test.ts
+++ b/src/common/forwarding/servers-for-release.test.ts
@@ -41,3 +41,13 @@
 	expect(chosen(1 / 6, candidates)).toHaveLength(1);
 	expect(chosen(1 / 6, candidates)).not.toContain(before);
 });
+
+// Guards against requests to a release that an earlier roll-out has reverted, while its servers are still listed.
+it.each(Object.values(serviceRolloutState))('sends nothing to a rejected release while the next roll-out is %s', state => {
+	const rollout: ServiceRollout = {
+		service: 's', target: 'new', rejected: ['bad'], state, share: 0, holdsSessions: true, startedAt: 0, durationMs: 1000, revision: 1,
+	};
+	const candidates = [...records('old', 2), ...records('bad', 2), ...records('new', state === serviceRolloutState.completed ? 2 : 0)];
+	const used = serversForRelease(rollout, {key: 'k', isSticky: false}, candidates, 0).map(({server}) => server.release);
+	expect(used).toEqual(state === serviceRolloutState.completed ? ['new', 'new'] : ['old', 'old']);
+});
--- a/src/common/forwarding/servers-for-release.ts
+++ b/src/common/forwarding/servers-for-release.ts
@@ -23,7 +23,7 @@
 	}
 
 	const target = candidates.filter(({server}) => server.release === rollout.target);
-	const others = candidates.filter(({server}) => server.release !== rollout.target);
+	const others = candidates.filter(({server: {release}}) => release !== rollout.target && (release === undefined || !rollout.rejected?.includes(release)));
 	if (rollout.state === serviceRolloutState.completed) {
 		return target.length > 0 ? target : others;
 	}
--- a/src/common/release/release-supervisor.ts
+++ b/src/common/release/release-supervisor.ts
@@ -63,7 +63,7 @@
 		for (const counts of rows) {
 			const rollout = this._options.state.serviceRollouts.get(counts.service);
 			// A host that has not applied the start of a roll-out yet still sends the counts of the one before.
-			if (rollout?.state === serviceRolloutState.inProgress && rollout.revision === counts.rollout) {
+			if (rollout?.state === serviceRolloutState.inProgress && rollout.revision === counts.rollout && !rollout.rejected?.includes(counts.release)) {
 				this._observe(rollout).totals.receive(sender, counts);
 			}
 		}
@@ -142,9 +142,9 @@
 		return observation;
 	}
 
-	/** Number of servers of the new release and of all others that take requests. */
-	private _serverCounts({service, target}: ServiceRollout): {old: number; target: number} {
-		const servers = [...this._options.state.backendServers.values()].filter(({services, isDraining}) => !isDraining && services.includes(service));
+	/** Number of servers of the new release and of the previous one that take requests. */
+	private _serverCounts({service, target, rejected}: ServiceRollout): {old: number; target: number} {
+		const servers = [...this._options.state.backendServers.values()].filter(({services, isDraining, release}) => !isDraining && services.includes(service) && (release === undefined || !rejected?.includes(release)));
 		const count = servers.filter(({release}) => release === target).length;
 		return {old: servers.length - count, target: count};
 	}
