Use one check for rejected releases and one test route and table

Found in the second reading: the check for a rejected release stood three times in slightly different forms; the rank of the trial servers was hashed in each comparison of a sort on the request path, now once a server; three fixtures wrote the same route and routing table; binOf was exported for nobody. Behaviour stays.

--- a/src/common/control/service-rollout.ts
+++ b/src/common/control/service-rollout.ts
@@ -24,3 +24,8 @@
 	/** Revision of the start command. */
 	readonly revision: number;
 }
+
+/** Whether an earlier roll-out of the service reverted a release. */
+export function isRejected({rejected}: Pick<ServiceRollout, 'rejected'>, release: string | undefined): boolean {
+	return release !== undefined && rejected?.includes(release) === true;
+}
--- a/src/common/forwarding/servers-for-release.ts
+++ b/src/common/forwarding/servers-for-release.ts
@@ -1,5 +1,5 @@
 import {hashString} from '../base/hash-string.js';
-import {serviceRolloutState, type ServiceRollout} from '../control/service-rollout.js';
+import {isRejected, serviceRolloutState, type ServiceRollout} from '../control/service-rollout.js';
 import {type ServerRecord} from './server-pool.js';
 
 /** Resolution of the share of sessions: one part in 10,000. */
@@ -23,7 +23,7 @@
 	}
 
 	const target = candidates.filter(({server}) => server.release === rollout.target);
-	const others = candidates.filter(({server: {release}}) => release !== rollout.target && (release === undefined || !rollout.rejected?.includes(release)));
+	const others = candidates.filter(({server: {release}}) => release !== rollout.target && !isRejected(rollout, release));
 	if (rollout.state === serviceRolloutState.completed) {
 		return target.length > 0 ? target : others;
 	}
@@ -47,8 +47,8 @@
 */
 function trialServers({revision, share}: ServiceRollout, target: readonly ServerRecord[], previousServers: number, now: number): readonly ServerRecord[] {
 	const count = Math.max(1, Math.round(share * previousServers));
-	const rankOf = ({server}: ServerRecord) => hashString(server.id, revision);
-	const byRank = [...target].sort((left, right) => rankOf(left) - rankOf(right));
+	const ranked = target.map(record => ({record, rank: hashString(record.server.id, revision)})).sort((left, right) => left.rank - right.rank);
+	const byRank = ranked.map(({record}) => record);
 	const available = byRank.filter(({health}) => health.isAvailable(now));
 	return (available.length > 0 ? available : byRank).slice(0, count);
 }
--- a/src/common/release/release-supervisor.ts
+++ b/src/common/release/release-supervisor.ts
@@ -8,7 +8,9 @@
 import {type ControlState} from '../control/control-state.js';
 import {type LeaderSection, type RenewalSender} from '../control/leader-section.js';
 import {PeriodicSweep} from '../control/periodic-sweep.js';
-import {serviceRolloutState, type ServiceRollout, type ServiceRolloutState} from '../control/service-rollout.js';
+import {
+	isRejected, serviceRolloutState, type ServiceRollout, type ServiceRolloutState,
+} from '../control/service-rollout.js';
 import {type ExposureLimit} from './exposure-limit.js';
 import {type ReleaseCounts, releaseSection} from './release-evidence.js';
 import {type JudgedRelease, ReleaseJudge, releaseVerdict} from './release-judge.js';
@@ -63,7 +65,7 @@
 		for (const counts of rows) {
 			const rollout = this._options.state.serviceRollouts.get(counts.service);
 			// A host that has not applied the start of a roll-out yet still sends the counts of the one before.
-			if (rollout?.state === serviceRolloutState.inProgress && rollout.revision === counts.rollout && !rollout.rejected?.includes(counts.release)) {
+			if (rollout?.state === serviceRolloutState.inProgress && rollout.revision === counts.rollout && !isRejected(rollout, counts.release)) {
 				this._observe(rollout).totals.receive(sender, counts);
 			}
 		}
@@ -143,8 +145,9 @@
 	}
 
 	/** Number of servers of the new release and of the previous one that take requests. */
-	private _serverCounts({service, target, rejected}: ServiceRollout): {old: number; target: number} {
-		const servers = [...this._options.state.backendServers.values()].filter(({services, isDraining, release}) => !isDraining && services.includes(service) && (release === undefined || !rejected?.includes(release)));
+	private _serverCounts(rollout: ServiceRollout): {old: number; target: number} {
+		const {service, target} = rollout;
+		const servers = [...this._options.state.backendServers.values()].filter(({services, isDraining, release}) => !isDraining && services.includes(service) && !isRejected(rollout, release));
 		const count = servers.filter(({release}) => release === target).length;
 		return {old: servers.length - count, target: count};
 	}
--- a/src/common/release/value-histogram.ts
+++ b/src/common/release/value-histogram.ts
@@ -6,7 +6,7 @@
 const lastBin = 47;
 
 /** Returns the bin of a value; values below 1 are in the first bin. */
-export function binOf(value: number): number {
+function binOf(value: number): number {
 	return Math.min(lastBin, Math.max(0, Math.floor(Math.log2(Math.max(1, value)) * binsPerOctave)));
 }
 
--- a/src/testing/forwarder-fixture.ts
+++ b/src/testing/forwarder-fixture.ts
@@ -12,7 +12,9 @@
 import {AffinityPlacement} from '../common/forwarding/placement.js';
 import {type ReleaseObserver} from '../common/forwarding/release-observer.js';
 import {RouteTable} from '../common/forwarding/route-table.js';
-import {repetition, type Repetition, type Route} from '../common/forwarding/routing-config.js';
+import {
+	type Customer, repetition, type Repetition, type Route,
+} from '../common/forwarding/routing-config.js';
 import {ServerPool} from '../common/forwarding/server-pool.js';
 import {ManualClock} from './manual-clock.js';
 import {RecordingSink} from './recording-sink.js';
@@ -29,6 +31,28 @@
 	};
 }
 
+/** Creates a route of service `s` at host `h`. */
+export function testRoute(changes: Partial<Route> = {}): Route {
+	return {
+		name: 'r', hostname: 'h', pathPrefix: '/', repetition: repetition.idempotent, timeoutMs: 1000, targetLatencyMs: 1000, targetPauseMs: 0, priority: 1, services: [{service: 's', weight: 1}], maxAttempts: 3, isAnonymous: true, hasPromptParts: false, isResumable: false, models: [], ...changes,
+	};
+}
+
+/** Creates a route table with the given routes of service `s`. */
+export function testTable(routes: readonly Route[], customers?: readonly Customer[], maxConnections = 10): RouteTable {
+	return new RouteTable({
+		version: 1,
+		routes,
+		services: [{
+			name: 's', healthPath: '/', maxConnections, slots: undefined, models: [],
+		}],
+		limits: {
+			maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+		},
+		customers,
+	});
+}
+
 /** Parts of a forwarder that a test sets; the others do nothing. */
 export type TestForwarderOptions = Pick<ForwardServices, 'clock' | 'lease' | 'pool' | 'port' | 'budget' | 'state'> & Partial<Pick<ForwardServices, 'observer'>> & {readonly random: RandomSource};
 
@@ -41,26 +65,16 @@
 
 /** Creates a forwarder with one route, a manual clock and scripted backend servers. */
 export function createForwarderFixture(kind: Repetition, changes: Partial<Route> = {}, servers: readonly BackendServer[] = [testBackend('a'), testBackend('bb'), testBackend('ccc')]) {
-	const route: Route = {
-		name: 'r', hostname: 'h.example', pathPrefix: '/a/', repetition: kind, timeoutMs: 1000, targetLatencyMs: 500, targetPauseMs: 0, priority: 2, services: [{service: 's', weight: 1}], maxAttempts: 3, isAnonymous: false, hasPromptParts: false, isResumable: kind === repetition.stream, models: [], ...changes,
-	};
+	const route = testRoute({
+		hostname: 'h.example', pathPrefix: '/a/', repetition: kind, targetLatencyMs: 500, priority: 2, isAnonymous: false, isResumable: kind === repetition.stream, ...changes,
+	});
 	const clock = new ManualClock();
 	const random = new SeededRandom(1);
 	const pool = new ServerPool();
 	pool.update(servers);
 	const port = new ScriptedPort();
 	const lease = {expiresAt: 100_000, isValid: () => lease.expiresAt > clock.now()};
-	const table = new RouteTable({
-		version: 1,
-		routes: [route],
-		services: [{
-			name: 's', healthPath: '/', maxConnections: 10, slots: undefined, models: [],
-		}],
-		limits: {
-			maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
-		},
-		customers: [{name: 'shop', keys: ['key'], priority: 1}],
-	});
+	const table = testTable([route], [{name: 'shop', keys: ['key'], priority: 1}]);
 	const budget = new RetryBudget(0.5, 5);
 	const forwarder = createTestForwarder({
 		clock, lease, random, pool, port, budget: () => budget, state: () => ({
--- a/src/testing/limit-simulation.ts
+++ b/src/testing/limit-simulation.ts
@@ -1,10 +1,10 @@
 import {type Clock} from '../common/base/clock.js';
 import {SeededRandom} from '../common/base/seeded-random.js';
 import {RetryBudget} from '../common/entry/retry-budget.js';
-import {RouteTable} from '../common/forwarding/route-table.js';
-import {repetition} from '../common/forwarding/routing-config.js';
 import {ServerPool} from '../common/forwarding/server-pool.js';
-import {createTestForwarder, testBackend} from './forwarder-fixture.js';
+import {
+	createTestForwarder, testBackend, testRoute, testTable,
+} from './forwarder-fixture.js';
 import {ManualClock} from './manual-clock.js';
 import {RecordingSink} from './recording-sink.js';
 import {answerHead, type ScriptedAttempt, ScriptedPort} from './scripted-port.js';
@@ -50,19 +50,7 @@
 	const random = new SeededRandom(seed);
 	const backends = Array.from({length: servers}, (_, index) => testBackend(`s${index}`, {capacity: 64}));
 	const isLimited = (id: string) => Number(id.slice(1)) < limited;
-	const table = new RouteTable({
-		version: 1,
-		routes: [{
-			name: 'r', hostname: 'h', pathPrefix: '/', repetition: repetition.idempotent, timeoutMs: 5000, targetLatencyMs: 1000, targetPauseMs: 0, priority: 1, services: [{service: 's', weight: 1}], maxAttempts: 3, isAnonymous: true, hasPromptParts: false, isResumable: false, models: [],
-		}],
-		services: [{
-			name: 's', healthPath: '/', maxConnections: 300, slots: 64, models: [],
-		}],
-		limits: {
-			maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
-		},
-		customers: undefined,
-	});
+	const table = testTable([testRoute({timeoutMs: 5000})], undefined, 300);
 	const knowing = new Map<string, number[]>();
 	const toLimited: number[] = [];
 	const forwarders = Array.from({length: hosts}, (_, host) => {
--- a/src/testing/rollout-simulation.ts
+++ b/src/testing/rollout-simulation.ts
@@ -1,18 +1,18 @@
 import {nullLogger} from '../common/base/null-logger.js';
 import {SeededRandom} from '../common/base/seeded-random.js';
-import {type BackendServer} from '../common/control/backend-server.js';
 import {type ControlCommand} from '../common/control/control-command.js';
 import {type ControlLeadership} from '../common/control/control-leadership.js';
 import {type ControlResult} from '../common/control/control-result.js';
 import {ControlState} from '../common/control/control-state.js';
 import {serviceRolloutState, type ServiceRolloutState} from '../common/control/service-rollout.js';
 import {RetryBudget} from '../common/entry/retry-budget.js';
-import {RouteTable} from '../common/forwarding/route-table.js';
 import {repetition, type Route} from '../common/forwarding/routing-config.js';
 import {ServerPool} from '../common/forwarding/server-pool.js';
 import {ReleaseRecorder} from '../common/release/release-recorder.js';
 import {ReleaseSupervisor} from '../common/release/release-supervisor.js';
-import {createTestForwarder} from './forwarder-fixture.js';
+import {
+	createTestForwarder, testBackend, testRoute, testTable,
+} from './forwarder-fixture.js';
 import {
 	type AnswerFault, LoadedServers, serverCapacity, type SimulatedAnswer, simulatedRoutes,
 } from './loaded-servers.js';
@@ -45,16 +45,11 @@
 const hostCount = 3;
 const requestsPerSecond = 60;
 const renewalMs = 1000;
-function routeOf(name: string): Route {
-	return {
-		name, hostname: 'h', pathPrefix: `/${name}/`, repetition: repetition.stream, timeoutMs: 25_000, targetLatencyMs: 1500, targetPauseMs: 800, priority: 1, services: [{service: 's', weight: 1}], maxAttempts: 3, isAnonymous: true, hasPromptParts: false, isResumable: true, models: [],
-	};
-}
 
-function backend(id: string, release: string): BackendServer {
-	return {
-		id, incarnation: 1, address: `${id}:1`, zone: 'z', kind: 'plain', offers: [], services: ['s'], checksFencing: false, checksSender: false, capacity: serverCapacity, release,
-	};
+function routeOf(name: string): Route {
+	return testRoute({
+		name, pathPrefix: `/${name}/`, repetition: repetition.stream, timeoutMs: 25_000, targetLatencyMs: 1500, targetPauseMs: 800, isResumable: true,
+	});
 }
 
 /** Plays a roll-out with real forwarders, recorders and a supervisor against servers that slow down with their load. */
@@ -67,23 +62,13 @@
 		log, state, clock, logger: nullLogger, leadership: {period: {}} as unknown as ControlLeadership, exposureLimit: {share: 0.15, slack: 30},
 	});
 	let supervisor = createSupervisor();
-	const servers = ['old', 'new'].flatMap(release => Array.from({length: serversPerRelease}, (_, index) => backend(`${release}-${index}`, release)));
+	const servers = ['old', 'new'].flatMap(release => Array.from({length: serversPerRelease}, (_, index) => testBackend(`${release}-${index}`, {address: `${release}-${index}:1`, capacity: serverCapacity, release})));
 	for (const server of servers) {
 		await log.propose({type: 'backend-joined', server, at: 0}); // eslint-disable-line no-await-in-loop -- one after another
 	}
 
 	const loaded = new LoadedServers(clock, random, fault);
-	const table = new RouteTable({
-		version: 1,
-		routes: simulatedRoutes.map(({name}) => routeOf(name)),
-		services: [{
-			name: 's', healthPath: '/', maxConnections: 370, slots: serverCapacity, models: [],
-		}],
-		limits: {
-			maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
-		},
-		customers: undefined,
-	});
+	const table = testTable(simulatedRoutes.map(({name}) => routeOf(name)), undefined, 370);
 	const hosts = Array.from({length: hostCount}, (_, hostIndex) => {
 		const pool = new ServerPool();
 		pool.update(servers);
