Keep requests away from servers that leave or ask for a pause

Cause: a host learnt that a server leaves from the directory only, and a server that answered 503 with Retry-After was chosen again when no other was left. That state was lost when the process left the directory for a moment, and a request that waited for a connection was written whatever had been learnt meanwhile, even under a lease that had expired during the wait.

Ruled out: passing reports of leaving servers on to other hosts. The directory already carries the server's own announcement, and a wrong report could take a service's servers away.

Change: the head of an answer says whether its process is leaving. The record of a process keeps this and the pause that it asked for, also while it is not listed (10 minutes, 2,000 records). No path chooses such a server. A request that waits for a connection is checked again right before it is written, and goes elsewhere without closing the connection. When all servers of a service have asked for a pause, requests are refused at once as not run, with the shortest time left and a spread of half of it.

Conclusion: both rules are held at the host by its own knowledge.

--- a/src/common/forwarding/backend-port.ts
+++ b/src/common/forwarding/backend-port.ts
@@ -7,8 +7,13 @@
 	readonly reason: string;
 }
 
-/** Events of one attempt, in this order: head, data, end. A failure can come at any point and ends the sequence. */
+/** Why an attempt ends that was withdrawn while it waited for a connection. */
+export const withdrawnReason = 'withdrawn';
+
+/** Events of one attempt, in this order: start, head, data, end. A failure can come at any point and ends the sequence. */
 export interface AttemptEvents {
+	/** Called when a connection is free. @returns whether to write the request; false ends the attempt with an unsent failure and `withdrawnReason`. */
+	mayStart(): boolean;
 	onHead(head: AnswerHead): void;
 	/** @returns whether to continue reading; false pauses reading until `AttemptHandle.resume`. */
 	onData(chunk: Uint8Array): boolean;
--- a/src/common/forwarding/choose-server.ts
+++ b/src/common/forwarding/choose-server.ts
@@ -10,20 +10,28 @@
 	return {wallTime: clock.wallTime(), hostCount, hostIndex};
 }
 
-/** Chooses the backend server of an attempt: not draining, not tried, within its request limit, and of the release that a roll-out assigns to the session. */
+/** Chooses the backend server of an attempt: neither leaving nor in a pause, not tried, within its request limit, and of the release that a roll-out assigns to the session. */
 export function chooseServer({pool, placement, state, sessions, clock, zone}: ForwardServices, {req, service}: AdmittedRequest, tried: ReadonlySet<string>): ServerRecord | undefined {
 	const parts = req.generation?.parts ?? [];
 	const rollout = state().rollouts.get(service);
 	const session = {key: req.session ?? parts.at(-1)?.id ?? req.id, isSticky: req.session !== undefined && sessions.isSticky(req.session)};
 	const share = limitShare({clock, state});
-	const untried = pool.notDraining(service).filter(({key, limit}) => !tried.has(key) && limit.allows(share));
-	const candidates = serversForRelease(rollout, session, untried, clock.now());
+	const now = clock.now();
+	const untried = pool.notDraining(service).filter(record => !tried.has(record.key) && record.accepts(now) && record.limit.allows(share));
+	const candidates = serversForRelease(rollout, session, untried, now);
 	// The last part belongs to this request alone. The part before it stands for the longest prefix shared with other requests.
 	const affinityKey = parts.at(-2)?.id ?? parts[0]?.id;
-	const record = placement.choose({affinityKey, zone}, candidates, clock.now());
+	const record = placement.choose({affinityKey, zone}, candidates, now);
 	if (record && req.session !== undefined && record.server.release !== rollout?.target) {
 		sessions.recordRequest(req.session);
 	}
 
 	return record;
 }
+
+/** Returns the time in milliseconds until a server of a service takes requests again; 0 unless all of them have asked for a pause. */
+export function pauseOfAllMs({pool, clock}: Pick<ForwardServices, 'pool' | 'clock'>, service: string): number {
+	const now = clock.now();
+	const servers = pool.notDraining(service);
+	return servers.length === 0 ? 0 : Math.min(...servers.map(record => record.pauseLeftMs(now)));
+}
--- a/src/common/forwarding/forward-request.ts
+++ b/src/common/forwarding/forward-request.ts
@@ -91,4 +91,6 @@
 	readonly isUnframed: boolean;
 	/** Time in seconds after which the backend server may be asked again. */
 	readonly retryAfterSeconds: number | undefined;
+	/** Whether the backend server states that it is leaving and must get no new requests. */
+	readonly isLeaving: boolean;
 }
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -2,20 +2,22 @@
 import {AnswerDelivery} from './answer-delivery.js';
 import {Attempt} from './attempt.js';
 import {AttemptEvidence} from './attempt-evidence.js';
-import {type AttemptEvents, type AttemptFailure} from './backend-port.js';
-import {type CallerSink} from './caller-sink.js';
+import {type AttemptEvents, type AttemptFailure, withdrawnReason} from './backend-port.js';
+import {type CallerSink, type Refusal} from './caller-sink.js';
 import {attemptTerms} from './attempt-terms.js';
-import {chooseServer, limitShare} from './choose-server.js';
+import {chooseServer, limitShare, pauseOfAllMs} from './choose-server.js';
 import {type EscalatingRequest, Escalation} from './escalation.js';
 import {type AnswerHead} from './forward-request.js';
 import {type ForwardServices} from './forward-services.js';
 import {type AdmittedRequest} from './forwarder.js';
-import {mayHaveRunRefusal, notRunRefusal, timeoutReason} from './router-refusals.js';
+import {
+	mayHaveRunRefusal, notRunRefusal, pausedRefusal, timeoutReason,
+} from './router-refusals.js';
 import {guardedEvents} from './guarded-events.js';
 import {headVerdict, isSuccess, judgeHead} from './head-verdict.js';
 import {RequestModel} from './request-model.js';
-import {recordLimit} from './record-limit.js';
 import {RequestAttempts} from './request-attempts.js';
+import {recordServerTerms} from './record-server-terms.js';
 import {type ServerRecord} from './server-pool.js';
 import {reportRequest} from './request-report.js';
 
@@ -155,6 +157,7 @@
 	/** Returns the handlers for the events of an attempt; they ignore events after the attempt or the request has finished. */
 	private _eventsOf(attempt: Attempt): AttemptEvents {
 		return guardedEvents(() => !attempt.isFinished && !this._isFinished, {
+			mayStart: () => this._services.lease.isValid() && attempt.record.accepts(this._services.clock.now()),
 			onHead: head => {
 				this._onHead(attempt, head);
 			},
@@ -175,15 +178,15 @@
 		attempt.head = head;
 		attempt.headAt = this._services.clock.now();
 		const verdict = judgeHead(head, this._sink.isStarted);
+		if (!head.isOtherServer) {
+			recordServerTerms(this._services, attempt, head);
+		}
+
 		if (verdict === headVerdict.foreign) {
 			this._fail(attempt, verdict);
 			return;
 		}
 
-		if (!head.isOtherServer) {
-			recordLimit(this._services, attempt, head);
-		}
-
 		if (verdict === headVerdict.refused) {
 			this._onRefused(attempt, head);
 			return;
@@ -279,7 +282,10 @@
 			return;
 		}
 
-		attempt.recordResult(true, this._services.clock.now());
+		if (reason !== withdrawnReason) {
+			attempt.recordResult(true, this._services.clock.now());
+		}
+
 		this.abandon(attempt, reason);
 		this._attempts.withdraw();
 		if (!this._escalation.isHolding && this._attempts.hasTime) {
@@ -290,12 +296,12 @@
 	}
 
 	/** Handles an answer which states that the backend server did not run the request. */
-	private _onRefused(attempt: Attempt, {isOtherServer, retryAfterSeconds}: AnswerHead): void {
+	private _onRefused(attempt: Attempt, {isOtherServer}: AnswerHead): void {
 		const now = this._services.clock.now();
 		if (isOtherServer) {
 			attempt.recordResult(true, now);
 		} else {
-			attempt.record.recordOverload(retryAfterSeconds, now);
+			attempt.record.recordOverload(now);
 		}
 
 		this.abandon(attempt, isOtherServer ? 'other-server' : 'not-run');
@@ -347,12 +353,18 @@
 		if (this._sink.isStarted) {
 			this._sink.destroy();
 		} else {
-			this._sink.refuse(this._mayHaveRun ? mayHaveRunRefusal(reason) : notRunRefusal(reason, this._services.random()));
+			this._sink.refuse(this._mayHaveRun ? mayHaveRunRefusal(reason) : this._notRunRefusal(reason));
 		}
 
 		this._finish(reason);
 	}
 
+	private _notRunRefusal(reason: string): Refusal {
+		const pauseMs = pauseOfAllMs(this._services, this._admitted.service);
+		const at = this._services.random();
+		return pauseMs > 0 ? pausedRefusal(pauseMs, at) : notRunRefusal(reason, at);
+	}
+
 	private _timeOut(): void {
 		const attempt = this._current;
 		if (attempt && !attempt.isFinished) {
--- a/src/common/forwarding/router-refusals.ts
+++ b/src/common/forwarding/router-refusals.ts
@@ -2,6 +2,9 @@
 
 /** Range in seconds of the time after which a refused caller may retry; jittered, so that callers do not retry together. */
 const retryAfterRange = [0.2, 0.6] as const;
+/** Minimum time in milliseconds over which callers return after a pause of all servers. */
+const minPauseSpreadMs = 400;
+const msPerSecond = 1000;
 const badGateway = 502;
 const gatewayTimeout = 504;
 const unavailable = 503;
@@ -17,6 +20,14 @@
 	};
 }
 
+/** Refusal of a request that has not run because all servers have asked for a pause. `at` in [0, 1) spreads the callers' return over half of its rest. */
+export function pausedRefusal(pauseMs: number, at: number): Refusal {
+	const spreadMs = Math.max(minPauseSpreadMs, pauseMs / 2);
+	return {
+		status: unavailable, code: 'servers-paused', ran: 'no', retryAfterSeconds: (pauseMs + (at * spreadMs)) / msPerSecond,
+	};
+}
+
 /** Refusal of a request that may have run. */
 export function mayHaveRunRefusal(code: string): Refusal {
 	return {status: code === timeoutReason ? gatewayTimeout : badGateway, code, ran: 'unknown'};
--- a/src/common/forwarding/server-pool.ts
+++ b/src/common/forwarding/server-pool.ts
@@ -4,6 +4,13 @@
 
 /** Backoff in milliseconds after a backend server refused a request without naming a time. */
 const defaultBackoffMs = 150;
+/** Longest pause in milliseconds that a server may ask for; a longer one is taken for a mistake. */
+const maxPauseMs = 600_000;
+/** Time in milliseconds for which the record of a process is kept after it has left the directory, because it may be listed again. */
+const unlistedRetentionMs = 600_000;
+/** Maximum number of records of processes that are not listed. */
+const maxUnlisted = 2000;
+const msPerSecond = 1000;
 
 /** A process of a backend server, with the state that this host derives from its own requests. */
 export class ServerRecord {
@@ -13,6 +20,8 @@
 	inFlight = 0;
 	/** Time until which the backend server counts as overloaded after it refused a request. */
 	overloadedUntil = 0;
+	private _pausedUntil = -Infinity;
+	private _isLeaving = false;
 
 	constructor(public server: BackendServer) {
 		this.limit = new RequestLimit(server.id);
@@ -22,9 +31,39 @@
 		return backendKey(this.server);
 	}
 
+	/** Whether the process has stated that it is leaving. */
+	get isLeaving(): boolean {
+		return this._isLeaving;
+	}
+
+	/** Whether this host may send requests to the process: it is not leaving and has not asked for a pause. */
+	accepts(now: number): boolean {
+		return !this._isLeaving && this._pausedUntil <= now;
+	}
+
+	/** Time in milliseconds until the end of the pause that the server asked for; 0 without a pause. */
+	pauseLeftMs(now: number): number {
+		return Math.max(0, this._pausedUntil - now);
+	}
+
 	/** Records that the server refused a request because it is overloaded. */
-	recordOverload(retryAfterSeconds: number | undefined, now: number): void {
-		this.overloadedUntil = now + (retryAfterSeconds === undefined ? defaultBackoffMs : retryAfterSeconds * 1000);
+	recordOverload(now: number): void {
+		this.overloadedUntil = now + defaultBackoffMs;
+	}
+
+	/** Records that the server takes no requests of this host for a time. @returns whether this extends the pause. */
+	recordPause(seconds: number, now: number): boolean {
+		const until = now + Math.min(maxPauseMs, seconds * msPerSecond);
+		const isLonger = until > this._pausedUntil;
+		this._pausedUntil = Math.max(this._pausedUntil, until);
+		return isLonger;
+	}
+
+	/** Records that the process is leaving, which it never takes back. @returns whether this is new. */
+	recordLeaving(): boolean {
+		const isNew = !this._isLeaving;
+		this._isLeaving = true;
+		return isNew;
 	}
 }
 
@@ -32,14 +71,17 @@
 export class ServerPool {
 	private readonly _records = new Map<string, ServerRecord>();
 	private readonly _byService = new Map<string, ServerRecord[]>();
+	/** Times at which processes with a record left the directory, by key, oldest first. */
+	private readonly _unlistedAt = new Map<string, number>();
 
-	/** Replaces the backend servers with those of the directory; drops the records of processes that are no longer listed. */
-	update(servers: Iterable<BackendServer>): void {
+	/** Replaces the backend servers with those of the directory. Records of processes that are no longer listed are kept for a time. */
+	update(servers: Iterable<BackendServer>, now: number): void {
 		this._byService.clear();
 		const seen = new Set<string>();
 		for (const server of servers) {
 			const key = backendKey(server);
 			seen.add(key);
+			this._unlistedAt.delete(key);
 			let record = this._records.get(key);
 			if (record) {
 				record.server = server;
@@ -59,14 +101,27 @@
 		}
 
 		for (const key of this._records.keys()) {
-			if (!seen.has(key)) {
-				this._records.delete(key);
+			if (!seen.has(key) && !this._unlistedAt.has(key)) {
+				this._unlistedAt.set(key, now);
 			}
 		}
+
+		this._dropUnlisted(now);
 	}
 
-	/** Returns the backend servers of a service that are not draining, whatever their health. */
+	/** Returns the backend servers of a service that are neither draining nor leaving, whatever their health. */
 	notDraining(service: string): ServerRecord[] {
-		return (this._byService.get(service) ?? []).filter(({server}) => !server.isDraining);
+		return (this._byService.get(service) ?? []).filter(({server, isLeaving}) => !server.isDraining && !isLeaving);
+	}
+
+	private _dropUnlisted(now: number): void {
+		for (const [key, since] of this._unlistedAt) {
+			if (now - since < unlistedRetentionMs && this._unlistedAt.size <= maxUnlisted) {
+				return;
+			}
+
+			this._unlistedAt.delete(key);
+			this._records.delete(key);
+		}
 	}
 }
--- a/src/common/host/forward-host.ts
+++ b/src/common/host/forward-host.ts
@@ -153,7 +153,7 @@
 	private _applyRevision(): void {
 		const {logger, parseRouting} = this._options;
 		const {view} = this.follower;
-		this._pool.update(view.backendServers.values());
+		this._pool.update(view.backendServers.values(), this._options.clock.now());
 		this._hostIndex = Math.max(0, [...view.entryHosts.keys()].sort().indexOf(this._options.entry.host));
 		this._onServers.fire(new Set([...view.backendServers.values()].map(({address}) => address)));
 		const {routing} = view;
--- a/src/node/http-backend-port.test.ts
+++ b/src/node/http-backend-port.test.ts
@@ -10,7 +10,7 @@
 const codec: BackendCodec = {
 	encodeHeaders: () => ['host', 'h.example'],
 	decodeHead: (status, headers) => ({
-		status, headers: [], isNotRun: false, isOtherServer: false, isSigned: true, isForRequest: true, confidence: undefined, requestsPerSecond: undefined, length: headers['content-length'] === undefined ? undefined : Number(headers['content-length']), isUnframed: false, retryAfterSeconds: undefined,
+		status, headers: [], isNotRun: false, isOtherServer: false, isSigned: true, isForRequest: true, confidence: undefined, requestsPerSecond: undefined, length: headers['content-length'] === undefined ? undefined : Number(headers['content-length']), isUnframed: false, retryAfterSeconds: undefined, isLeaving: false,
 	}),
 };
 
@@ -19,6 +19,7 @@
 
 afterEach(() => {
 	port?.dispose();
+	port = undefined;
 	server?.close();
 });
 
@@ -35,16 +36,17 @@
 	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
-/** Sends one request. @returns its events in order. */
-async function send(address: string): Promise<string[]> {
-	port = new HttpBackendPort(codec, nullLogger);
+/** Sends one request, over one connection at most. @returns its events in order. */
+async function send(address: string, mayStart = () => true): Promise<string[]> {
+	port ??= new HttpBackendPort(codec, nullLogger);
 	const seen: string[] = [];
 	return new Promise(resolve => {
 		port!.send({
 			method: 'GET', target: '/', headers: [], body: undefined,
 		}, {
-			requestId: 'q', serverId: 's', address, maxConnections: 2, remainingMs: 1000, customer: undefined, model: undefined, priority: undefined, resumeAfter: undefined, repetition: 'idempotent',
+			requestId: 'q', serverId: 's', address, maxConnections: 1, remainingMs: 1000, customer: undefined, model: undefined, priority: undefined, resumeAfter: undefined, repetition: 'idempotent',
 		}, {
+			mayStart,
 			onHead(head: AnswerHead) {
 				seen.push(`head ${head.status}`);
 			},
@@ -112,3 +114,28 @@
 	});
 	expect(await send(address)).toEqual(['unsent']);
 });
+
+// Guards against a request that is written after a wait for a connection although it may no longer be sent, and against closing
+// the connection for which it waited.
+it('drops a waiting request that may not start, and keeps its connection', async () => {
+	let connections = 0;
+	const requests: string[] = [];
+	server = createServer(socket => {
+		connections++;
+		socket.on('error', () => undefined);
+		socket.on('data', data => {
+			requests.push(data.toString().split(' ')[0]!);
+			setTimeout(() => {
+				socket.write(`${head}content-length: 0\r\n\r\n`);
+			}, 30);
+		});
+	});
+	await new Promise<void>(resolve => {
+		server!.listen(0, '127.0.0.1', resolve);
+	});
+	const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	const seen = await Promise.all([send(address), send(address, () => false), send(address)]);
+	expect(seen).toEqual([['head 200', 'end'], ['unsent'], ['head 200', 'end']]);
+	expect(requests).toHaveLength(2);
+	expect(connections).toBe(1);
+});
--- a/src/node/http-backend-port.ts
+++ b/src/node/http-backend-port.ts
@@ -2,7 +2,9 @@
 import {buildConnector, type Dispatcher, Pool} from 'undici';
 import {type Disposable} from '../common/base/disposable.js';
 import {type Logger} from '../common/base/logger.js';
-import {type AttemptEvents, type AttemptHandle, type BackendPort} from '../common/forwarding/backend-port.js';
+import {
+	type AttemptEvents, type AttemptHandle, type BackendPort, withdrawnReason,
+} from '../common/forwarding/backend-port.js';
 import {type AttemptTerms, type ForwardMessage} from '../common/forwarding/forward-request.js';
 import {type BackendCodec} from './backend-codec.js';
 
@@ -141,10 +143,12 @@
 	}
 
 	onRequestStart(controller: Dispatcher.DispatchController): void {
-		this._controller = controller;
-		if (this._isFinished) {
-			controller.abort(new Error('the attempt was aborted'));
+		if (this._isFinished || !this._events.mayStart()) {
+			// An error at this point drops the request and keeps the connection, on which nothing was written.
+			throw new Error(withdrawnReason);
 		}
+
+		this._controller = controller;
 	}
 
 	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
--- a/src/testing/forwarder-fixture.ts
+++ b/src/testing/forwarder-fixture.ts
@@ -71,7 +71,7 @@
 	const clock = new ManualClock();
 	const random = new SeededRandom(1);
 	const pool = new ServerPool();
-	pool.update(servers);
+	pool.update(servers, clock.now());
 	const port = new ScriptedPort();
 	const lease = {expiresAt: 100_000, isValid: () => lease.expiresAt > clock.now()};
 	const table = testTable([route], [{name: 'shop', keys: ['key'], priority: 1}]);
--- a/src/testing/limit-simulation.ts
+++ b/src/testing/limit-simulation.ts
@@ -55,7 +55,7 @@
 	const toLimited: number[] = [];
 	const forwarders = Array.from({length: hosts}, (_, host) => {
 		const pool = new ServerPool();
-		pool.update(backends);
+		pool.update(backends, clock.now());
 		const toldAt = new Map<string, number>();
 		const answer = ({terms, events}: ScriptedAttempt) => {
 			const {serverId} = terms;
--- a/src/testing/rollout-simulation.ts
+++ b/src/testing/rollout-simulation.ts
@@ -71,7 +71,7 @@
 	const table = testTable(simulatedRoutes.map(({name}) => routeOf(name)), undefined, 370);
 	const hosts = Array.from({length: hostCount}, (_, hostIndex) => {
 		const pool = new ServerPool();
-		pool.update(servers);
+		pool.update(servers, clock.now());
 		const recorder = new ReleaseRecorder(service => {
 			const rollout = state.serviceRollouts.get(service);
 			return rollout?.state === serviceRolloutState.inProgress ? rollout.revision : undefined;
