End attempts whose server sends bytes that are no answer

Cause: an answer without an end could occupy a host. Events without an ID, events that come again and an event that never ends were relayed or buffered without a bound, each chunk counted as progress of a stream, so a stalled one with a byte now and then lasted until its deadline, and a server that let requests which must not be repeated time out never counted as failed. After each aborted attempt the HTTP client opened a connection that nobody used, and the abort counted as a reset of all answers from that address that end with their connection.

Ruled out: heads. Header fields are bounded by the HTTP client, and status lines and interim heads use no memory and end with the timeout of the request.

Change: a stream must consist of events of at most 64 KiB with increasing IDs; only such an event is progress. A silent server counts as failed at the timeout if it had the target latency. An abort closes its connection for good and touches no other answer.

Conclusion: a server in trouble costs its requests, not the host.

--- a/src/common/forwarding/answer-delivery.ts
+++ b/src/common/forwarding/answer-delivery.ts
@@ -1,6 +1,6 @@
 import {type Clock} from '../base/clock.js';
 import {type Disposable} from '../base/disposable.js';
-import {AnswerRelay, type AnswerProblem} from './answer-relay.js';
+import {AnswerRelay, type AnswerProblem, type ChunkProblem} from './answer-relay.js';
 import {type Attempt} from './attempt.js';
 import {type CallerSink} from './caller-sink.js';
 import {type AnswerHead} from './forward-request.js';
@@ -43,11 +43,16 @@
 		this._relay.begin(head);
 	}
 
-	/** Relays a chunk. @returns whether to continue reading, or that the answer is too long to be buffered. */
-	push(attempt: Attempt, chunk: Uint8Array): boolean | 'too-long' {
-		this._stallWatch.touch();
+	/** Relays a chunk. @returns whether to continue reading, or why the answer cannot be used. */
+	push(attempt: Attempt, chunk: Uint8Array): boolean | ChunkProblem {
+		const before = this._relay.lastEventId;
 		const result = this._relay.push(attempt, chunk);
-		if (!result) {
+		// Bytes that complete no event are no progress: a server may send some now and then without an end.
+		if (this._relay.lastEventId !== before) {
+			this._stallWatch.touch();
+		}
+
+		if (result === false) {
 			this._stallWatch.suspend();
 		}
 
--- a/src/common/forwarding/answer-relay.ts
+++ b/src/common/forwarding/answer-relay.ts
@@ -1,9 +1,12 @@
 import {type Attempt} from './attempt.js';
 import {type CallerSink} from './caller-sink.js';
+import {type StreamProblem} from './event-splitter.js';
 import {type AnswerHead} from './forward-request.js';
 
 /** Why an ended answer is incomplete. */
 export type AnswerProblem = 'torn-event' | 'short-answer';
+/** Why an answer in progress cannot be used. */
+export type ChunkProblem = StreamProblem | 'answer-too-long';
 
 /** Passes answers to a caller: streams event by event as they arrive, other answers once they are complete. */
 export class AnswerRelay {
@@ -30,15 +33,19 @@
 		}
 	}
 
-	/** Processes a chunk. @returns whether to continue reading, or that the answer is too long to be buffered. */
-	push(attempt: Attempt, chunk: Uint8Array): boolean | 'too-long' {
+	/** Processes a chunk. @returns whether to continue reading, or why the answer cannot be used. */
+	push(attempt: Attempt, chunk: Uint8Array): boolean | ChunkProblem {
 		if (attempt.head && this._isStreamed(attempt.head)) {
-			const {completeEvents, lastId} = attempt.splitter.push(chunk);
+			const {completeEvents, lastId, problem} = attempt.splitter.push(chunk);
+			if (problem) {
+				return problem;
+			}
+
 			this._lastEventId = lastId ?? this._lastEventId;
 			return completeEvents ? this._sink.write(completeEvents) : true;
 		}
 
-		return attempt.buffer(chunk) || 'too-long';
+		return attempt.buffer(chunk) || 'answer-too-long';
 	}
 
 	/** Returns why an ended answer is incomplete; undefined when it is complete. */
--- a/src/common/forwarding/attempt.ts
+++ b/src/common/forwarding/attempt.ts
@@ -51,6 +51,11 @@
 		this.record.health.record(isFailed, this.sentAt, now);
 	}
 
+	/** Whether the attempt was sent by the given time, and neither a head nor, of a streamed answer, an event has arrived since then. */
+	isSilentSince(time: number): boolean {
+		return Math.max(this.sentAt, this.headAt ?? -Infinity) <= time && !this.splitter.hasEvents;
+	}
+
 	/** Removes and returns the buffered chunks. */
 	takeBuffered(): readonly Uint8Array[] {
 		this._bufferedBytes = 0;
--- a/src/common/forwarding/event-splitter.test.ts
+++ b/src/common/forwarding/event-splitter.test.ts
@@ -1,5 +1,5 @@
 import {expect, it} from 'vitest';
-import {EventSplitter} from './event-splitter.js';
+import {EventSplitter, type StreamProblem} from './event-splitter.js';
 
 const encoder = new TextEncoder();
 const decoder = new TextDecoder();
@@ -22,3 +22,35 @@
 	expect(decoder.decode(splitter.remainder)).toBe('id: 3\ndata: thr');
 	expect({lastId, count}).toEqual({lastId: 2, count: 2});
 });
+
+// Guards against bytes that are no events, or events that come again, and that a caller would get as an answer.
+it.each<{name: string; stream: string; problem: StreamProblem | undefined; lastId: number | undefined}>([
+	{
+		name: 'increasing events', stream: 'id: 1\ndata: a\n\nid: 5\ndata: b\n\n', problem: undefined, lastId: 5,
+	},
+	{
+		name: 'an event whose first line names a version', stream: 'x-weight-versions: 3\nid: 1\ndata: a\n\n', problem: undefined, lastId: 1,
+	},
+	{
+		name: 'lines that end with a carriage return', stream: 'id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n', problem: undefined, lastId: 2,
+	},
+	{
+		name: 'comments and a reconnection time', stream: ': alive\n\nretry: 500\n\n', problem: undefined, lastId: undefined,
+	},
+	{
+		name: 'an event without an ID', stream: 'data: a\n\n', problem: 'not-an-event', lastId: undefined,
+	},
+	{
+		name: 'blank lines only', stream: '\n\n\n\n', problem: undefined, lastId: undefined,
+	},
+	{
+		name: 'an event that comes twice', stream: 'id: 1\ndata: a\n\nid: 1\ndata: a\n\n', problem: 'event-out-of-order', lastId: undefined,
+	},
+	{
+		name: 'an event without an end', stream: `id: 1\ndata: ${'x'.repeat(70_000)}`, problem: 'event-too-long', lastId: undefined,
+	},
+])('finds the problem $problem in $name', ({stream: text, problem, lastId}) => {
+	const batch = new EventSplitter().push(encoder.encode(text));
+	expect(batch.problem).toBe(problem);
+	expect(batch.lastId).toBe(lastId);
+});
--- a/src/common/forwarding/event-splitter.ts
+++ b/src/common/forwarding/event-splitter.ts
@@ -1,5 +1,10 @@
 const lineFeed = 10;
 const carriageReturn = 13;
+/** Longest event in bytes; a longer one is taken for bytes that are no answer. */
+const maxEventBytes = 64 * 1024;
+
+/** Why a stream is no valid answer. */
+export type StreamProblem = 'event-too-long' | 'not-an-event' | 'event-out-of-order';
 
 /** Complete events of a stream, with the ID of the last one. */
 export interface EventBatch {
@@ -9,34 +14,65 @@
 	readonly lastId: number | undefined;
 	/** Number of complete events that have an ID. */
 	readonly count: number;
+	/** Set when the stream is not valid; its complete events must not be used then. */
+	readonly problem?: StreamProblem;
 }
 
 const decoder = new TextDecoder();
+const noEvents: EventBatch = {completeEvents: undefined, lastId: undefined, count: 0};
+const eventEnd = /\r?\n\r?\n/v;
+const idLine = /^id:\s*(?<id>\d+)\s*$/mv;
+/** A block without an event: comments, by which a server keeps the connection open, and the time after which to reconnect. */
+const noEventBlock = /^(?:(?::|retry:)[^\n]*(?:\n|$)|\s)*$/v;
 
 /**
 Splits a stream into complete events and buffers the remainder. A stream that breaks inside an event can then resume at
-another backend server without a partial or duplicate event.
+another backend server without a partial or duplicate event. Checks that the IDs of the events increase.
 */
 export class EventSplitter {
 	private _remainder: Uint8Array = new Uint8Array(0);
+	private _lastId: number | undefined;
 
 	/** Bytes of an incomplete event. */
 	get remainder(): Uint8Array {
 		return this._remainder;
 	}
 
+	/** Whether an event is complete. */
+	get hasEvents(): boolean {
+		return this._lastId !== undefined;
+	}
+
 	push(chunk: Uint8Array): EventBatch {
 		const bytes = this._remainder.length === 0 ? chunk : concat(this._remainder, chunk);
 		const end = endOfLastEvent(bytes);
 		this._remainder = bytes.subarray(end);
+		if (this._remainder.length > maxEventBytes) {
+			return {...noEvents, problem: 'event-too-long'};
+		}
+
 		if (end === 0) {
-			return {completeEvents: undefined, lastId: undefined, count: 0};
+			return noEvents;
 		}
 
 		const completeEvents = bytes.subarray(0, end);
-		const ids = [...decoder.decode(completeEvents).matchAll(/^id:\s*(?<id>\d+)\s*$/gmv)];
-		const last = ids.at(-1)?.groups?.id;
-		return {completeEvents, lastId: last === undefined ? undefined : Number(last), count: ids.length};
+		let count = 0;
+		for (const block of decoder.decode(completeEvents).split(eventEnd)) {
+			const id = idLine.exec(block)?.groups?.id;
+			if (id === undefined) {
+				if (!noEventBlock.test(block)) {
+					return {...noEvents, problem: 'not-an-event'};
+				}
+			} else if (this._lastId !== undefined && Number(id) <= this._lastId) {
+				return {...noEvents, problem: 'event-out-of-order'};
+			} else {
+				this._lastId = Number(id);
+				count++;
+			}
+		}
+
+		// Without an event, the bytes only keep the connection open.
+		return count === 0 ? noEvents : {completeEvents, lastId: this._lastId, count};
 	}
 }
 
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -18,6 +18,7 @@
 import {RequestModel} from './request-model.js';
 import {RequestAttempts} from './request-attempts.js';
 import {recordServerTerms} from './record-server-terms.js';
+import {headTimeoutMs} from './stall-timeouts.js';
 import {type ServerRecord} from './server-pool.js';
 import {reportRequest} from './request-report.js';
 
@@ -249,8 +250,8 @@
 		}
 
 		const result = this._delivery.push(attempt, chunk);
-		if (result === 'too-long') {
-			this._fail(attempt, 'answer-too-long');
+		if (typeof result === 'string') {
+			this._fail(attempt, result);
 			return true;
 		}
 
@@ -352,11 +353,13 @@
 
 		if (this._sink.isStarted) {
 			this._sink.destroy();
-		} else {
-			this._sink.refuse(this._mayHaveRun ? mayHaveRunRefusal(reason) : this._notRunRefusal(reason));
+			this._finish(reason);
+			return;
 		}
 
-		this._finish(reason);
+		const refusal = this._mayHaveRun ? mayHaveRunRefusal(reason) : this._notRunRefusal(reason);
+		this._sink.refuse(refusal);
+		this._finish(refusal.code);
 	}
 
 	private _notRunRefusal(reason: string): Refusal {
@@ -368,10 +371,15 @@
 	private _timeOut(): void {
 		const attempt = this._current;
 		if (attempt && !attempt.isFinished) {
+			const now = this._services.clock.now();
 			this._mayHaveRun = true;
+			if (attempt.isSilentSince(now - headTimeoutMs(this._admitted.route))) {
+				attempt.recordResult(true, now);
+			}
+
 			if (!attempt.head) {
 				this.model.recordFirstEvent(attempt);
-				attempt.evidence.recordSilence(this._services.clock.now());
+				attempt.evidence.recordSilence(now);
 			}
 
 			this.abandon(attempt, timeoutReason);
--- a/src/common/forwarding/stall.test.ts
+++ b/src/common/forwarding/stall.test.ts
@@ -1,5 +1,5 @@
 import {expect, it} from 'vitest';
-import {createForwarderFixture} from '../../testing/forwarder-fixture.js';
+import {createForwarderFixture, testBackend} from '../../testing/forwarder-fixture.js';
 import {scriptedAnswers} from '../../testing/scripted-answers.js';
 import {answerHead} from '../../testing/scripted-port.js';
 import {type Repetition} from './routing-config.js';
@@ -73,3 +73,38 @@
 	scriptedAnswers.good(port.attempts[0]!);
 	expect(sink.status).toBe(200);
 });
+
+// Guards against a stalled stream that never ends because its server sends a few bytes now and then, and against cutting a slow
+// stream whose events arrive.
+it.each([
+	{name: 'bytes of an event that never ends', chunk: () => 'x', attempts: 2},
+	{name: 'comments', chunk: () => ': alive\n\n', attempts: 2},
+	{name: 'events', chunk: (id: number) => `id: ${id}\ndata: x\n\n`, attempts: 1},
+])('sends a stream $attempts times when $name arrive slowly', async ({chunk, attempts}) => {
+	const {clock, port, send} = createFixture('stream');
+	send({deadlineMs: 20_000});
+	const {events} = port.attempts[0]!;
+	events.onHead(answerHead());
+	events.onData(encoder.encode('id: 1\ndata: x\n\n'));
+	for (let id = 2; id < 15; id++) {
+		await clock.advance(100); // eslint-disable-line no-await-in-loop -- chunks arrive one after the other
+		events.onData(encoder.encode(chunk(id)));
+	}
+
+	expect(port.attempts).toHaveLength(attempts);
+});
+
+// Guards against a server that stays in use although it answers none of the requests that must not be repeated, and against
+// ejecting one whose callers are merely impatient.
+it.each([
+	{name: 'is silent until the timeout', deadlineMs: 20_000, isEjected: true},
+	{name: 'has less than the target latency', deadlineMs: targetMs / 2, isEjected: false},
+])('ejects a server $isEjected that $name', async ({deadlineMs, isEjected}) => {
+	const {clock, send, pool} = createForwarderFixture('once', {targetLatencyMs: targetMs, timeoutMs: 1000}, [testBackend('a')]);
+	for (let index = 0; index < 3; index++) {
+		send({deadlineMs});
+	}
+
+	await clock.advance(1001);
+	expect(pool.notDraining('s')[0]!.health.isEjected).toBe(isEjected);
+});
--- a/src/common/release/release-supervisor.ts
+++ b/src/common/release/release-supervisor.ts
@@ -105,7 +105,9 @@
 		const stage = allowedStage({
 			elapsedMs, durationMs, trialShare: trialShare(old), exposed, all, peakPerSecond,
 		}, this._options.exposureLimit);
-		this._log(rollout, observation, judged, {elapsedMs: Math.round(elapsedMs), stage, perSecond: perSecond && Math.round(perSecond), peakPerSecond: peakPerSecond && Math.round(peakPerSecond)});
+		this._log(rollout, observation, judged, {
+			elapsedMs: Math.round(elapsedMs), stage, perSecond: perSecond && Math.round(perSecond), peakPerSecond: peakPerSecond && Math.round(peakPerSecond),
+		});
 		if (judged.verdict === releaseVerdict.bad) {
 			this._step(rollout, serviceRolloutState.reverted, 0, judged);
 			return;
--- a/src/node/http-backend-port.test.ts
+++ b/src/node/http-backend-port.test.ts
@@ -1,6 +1,7 @@
 import {
 	createServer, type Server, type Socket, type AddressInfo,
 } from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import {afterEach, expect, it} from 'vitest';
 import {nullLogger} from '../common/base/null-logger.js';
 import {type AnswerHead} from '../common/forwarding/forward-request.js';
@@ -139,3 +140,49 @@
 	expect(requests).toHaveLength(2);
 	expect(connections).toBe(1);
 });
+
+// Guards against a new connection that nobody uses after each aborted attempt, and against taking an abort for a reset of another
+// answer from the same server that ends with its connection.
+it('closes the connection of an aborted attempt and leaves the other attempts alone', async () => {
+	let connections = 0;
+	const open = new Set<Socket>();
+	server = createServer(socket => {
+		connections++;
+		open.add(socket);
+		socket.on('error', () => undefined);
+		socket.once('close', () => {
+			open.delete(socket);
+		});
+		socket.once('data', () => {
+			socket.write(`${head}\r\nabc`);
+		});
+	});
+	await new Promise<void>(resolve => {
+		server!.listen(0, '127.0.0.1', resolve);
+	});
+	port = new HttpBackendPort(codec, nullLogger);
+	const seen: string[] = [];
+	const handles = ['a', 'b'].map(name => port!.send({
+		method: 'GET', target: '/', headers: [], body: undefined,
+	}, {
+		requestId: name, serverId: 's', address: `127.0.0.1:${(server!.address() as AddressInfo).port}`, maxConnections: 2, remainingMs: 1000, customer: undefined, model: undefined, priority: undefined, resumeAfter: undefined, repetition: 'idempotent',
+	}, {
+		mayStart: () => true,
+		onHead: () => undefined,
+		onData: () => true,
+		onEnd() {
+			seen.push(`${name} end`);
+		},
+		onFailure() {
+			seen.push(`${name} failed`);
+		},
+	}));
+	await expect.poll(() => open.size).toBe(2);
+	await delay(50);
+	handles[0]!.abort();
+	await expect.poll(() => open.size).toBe(1);
+	await delay(100);
+	expect(connections).toBe(2);
+	[...open][0]!.end();
+	await expect.poll(() => seen).toEqual(['b end']);
+});
--- a/src/node/http-backend-port.ts
+++ b/src/node/http-backend-port.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {type Socket} from 'node:net';
 import {buildConnector, type Dispatcher, Pool} from 'undici';
 import {type Disposable} from '../common/base/disposable.js';
 import {type Logger} from '../common/base/logger.js';
@@ -93,6 +94,12 @@
 	}
 }
 
+/** Code of the error with which the HTTP client closes a connection itself. */
+const clientClosedCode = 'UND_ERR_INFO';
+
+/** A connection that this host closed because its request was aborted. */
+class AbortedConnectionError extends Error {}
+
 /**
 Creates a connector that detects resets of close-delimited answers: the HTTP client takes a reset for the normal end of
 such an answer. The connector cannot tell to which answer the reset connection belongs, so all close-delimited answers
@@ -103,16 +110,31 @@
 	return (options, callback) => {
 		connect(options, (...result) => {
 			const [, socket] = result;
-			socket?.once('error', () => {
-				for (const attempt of closeDelimited) {
-					attempt.markReset();
+			socket?.once('error', (error: Error) => {
+				if (!(error instanceof AbortedConnectionError)) {
+					for (const attempt of closeDelimited) {
+						attempt.markReset();
+					}
 				}
 			});
+			if (socket) {
+				closeForGood(socket);
+			}
+
 			callback(...result);
 		});
 	};
 }
 
+/**
+Keeps the HTTP client from opening a new connection in place of one that it closed to abort a request: it treats errors with
+its own code as if the request were still to be sent.
+*/
+function closeForGood(socket: Socket): void {
+	const destroy = socket.destroy.bind(socket);
+	socket.destroy = (error?: Error) => destroy((error as {code?: string} | undefined)?.code === clientClosedCode ? new AbortedConnectionError(error!.message) : error);
+}
+
 /** One attempt, driven by the events of the HTTP client. */
 class HttpAttempt implements AttemptHandle, Dispatcher.DispatchHandler {
 	private _controller: Dispatcher.DispatchController | undefined;
