Spread popular prompt parts over as many servers as their work takes

Cause: hosts bound the load of a server by their own requests in flight. With 191 hosts that is 0 or 1 at each of 44 servers, the bound never applies, and all hosts of a zone send a popular part to one server. Emulator, 191 hosts, 4 parts, half of the servers' time used: the busiest server gets 2.25 times the mean, and 95 % of the requests take up to 70 times their own work.

Ruled out: sharing counts in flight through the leader, which are a second old when they arrive and make all hosts choose the same server (by argument, not measured).

Change: each host learns the share of a part in the work from its own requests and uses as many servers for it as that share takes. The more requests it has in flight at each server, the less it spreads. Among these servers two come into question for the subject of a request; the one to which the host has sent less work gets it.

--- a/src/common/forwarding/choose-server.ts
+++ b/src/common/forwarding/choose-server.ts
@@ -1,9 +1,13 @@
 import {type AdmittedRequest} from './forwarder.js';
+import {type ForwardRequest} from './forward-request.js';
 import {type ForwardServices} from './forward-services.js';
 import {type LimitShare} from './request-limit.js';
 import {serversForRelease} from './servers-for-release.js';
 import {type ServerRecord} from './server-pool.js';
 
+/** Number of prompt tokens that take as much time of an engine as one token of an answer. */
+const tokensPerOutputToken = 10;
+
 /** Returns the place of this host among those that share the request limits of backend servers. */
 export function limitShare({clock, state}: Pick<ForwardServices, 'clock' | 'state'>): LimitShare {
 	const {hostCount, hostIndex} = state();
@@ -21,7 +25,9 @@
 	const candidates = serversForRelease(rollout, session, untried, now);
 	// The last part belongs to this request alone. The part before it stands for the longest prefix shared with other requests.
 	const affinityKey = parts.at(-2)?.id ?? parts[0]?.id;
-	const record = placement.choose({affinityKey, zone}, candidates, now);
+	const record = placement.choose({
+		service, affinityKey, subjectKey: parts.at(-1)?.id, work: workOf(req), zone,
+	}, candidates, now);
 	if (record && req.session !== undefined && record.server.release !== rollout?.target) {
 		sessions.recordRequest(req.session);
 	}
@@ -29,6 +35,11 @@
 	return record;
 }
 
+/** Expected work of a request, in the unit of a prompt token. */
+function workOf({generation}: ForwardRequest): number {
+	return generation ? generation.inputTokens + (tokensPerOutputToken * (generation.expectedOutputTokens ?? generation.maxOutputTokens)) : 1;
+}
+
 /** Returns the time in milliseconds until a server of a service takes requests again; 0 unless all of them have asked for a pause. */
 export function pauseOfAllMs({pool, clock}: Pick<ForwardServices, 'pool' | 'clock'>, service: string): number {
 	const now = clock.now();
--- a/src/common/forwarding/placement.test.ts
+++ b/src/common/forwarding/placement.test.ts
@@ -1,6 +1,6 @@
 import {expect, it} from 'vitest';
 import {SeededRandom} from '../base/seeded-random.js';
-import {AffinityPlacement} from './placement.js';
+import {AffinityPlacement, type PlacementRequest} from './placement.js';
 import {ServerRecord} from './server-pool.js';
 
 function servers(count: number): ServerRecord[] {
@@ -9,10 +9,16 @@
 	}));
 }
 
+function request(affinityKey: string | undefined, zone: string): PlacementRequest {
+	return {
+		service: 's', affinityKey, subjectKey: undefined, work: 1, zone,
+	};
+}
+
 // Guards against processing a prompt part again because hosts of a zone place requests with the same part on different servers.
 it.each(['z0', 'z1', 'z2', 'zone-without-servers'])('places a part on the same server from all hosts of %s', zone => {
 	for (let part = 0; part < 50; part++) {
-		const chosen = [1, 2, 3].map(seed => new AffinityPlacement(new SeededRandom(seed)).choose({affinityKey: `p${part}`, zone}, servers(6), 0)!.server.id);
+		const chosen = [1, 2, 3].map(seed => new AffinityPlacement(new SeededRandom(seed)).choose(request(`p${part}`, zone), servers(6), 0)!.server.id);
 		expect(new Set(chosen).size).toBe(1);
 	}
 });
@@ -30,7 +36,7 @@
 	const count = 2000;
 	for (let index = 0; index < count; index++) {
 		const zone = hosts[index % hosts.length]!;
-		const record = placement.choose({affinityKey: `p${(index * 7) % 400}`, zone}, all, 0)!;
+		const record = placement.choose(request(`p${(index * 7) % 400}`, zone), all, 0)!;
 		local += record.server.zone === zone ? 1 : 0;
 		record.inFlight++;
 		running.push(record);
@@ -48,7 +54,7 @@
 	const placement = new AffinityPlacement(new SeededRandom(1));
 	const all = servers(6);
 	for (let index = 0; index < 120; index++) {
-		placement.choose({affinityKey: 'popular', zone: 'z0'}, all, 0)!.inFlight++;
+		placement.choose(request('popular', 'z0'), all, 0)!.inFlight++;
 	}
 
 	expect(Math.max(...all.map(({inFlight}) => inFlight))).toBeLessThanOrEqual((120 / 6 * 1.5) + 1);
@@ -74,6 +80,6 @@
 		all[index]!.overloadedUntil = 1000;
 	}
 
-	const chosen = new Set(Array.from({length: 60}, (_, index) => placement.choose({affinityKey: index % 2 === 0 ? `p${index}` : undefined, zone: `z${index % 3}`}, all, 10)!.server.id));
+	const chosen = new Set(Array.from({length: 60}, (_, index) => placement.choose(request(index % 2 === 0 ? `p${index}` : undefined, `z${index % 3}`), all, 10)!.server.id));
 	expect([...chosen].sort()).toEqual(expected);
 });
--- a/src/common/forwarding/placement.ts
+++ b/src/common/forwarding/placement.ts
@@ -1,11 +1,17 @@
 import {hashString} from '../base/hash-string.js';
 import {type RandomSource} from '../base/random-source.js';
+import {PartShares} from './part-shares.js';
 import {type ServerRecord} from './server-pool.js';
 
 /** Inputs to the placement of a request. */
 export interface PlacementRequest {
+	readonly service: string;
 	/** Requests with the same key share a part of their prompt; undefined when nothing is shared. */
 	readonly affinityKey: string | undefined;
+	/** Requests with the same key belong to the same subject or session; undefined when that is not known. */
+	readonly subjectKey: string | undefined;
+	/** Expected work of the request, in the unit of a prompt token. */
+	readonly work: number;
 	/** Availability zone of this host. */
 	readonly zone: string;
 }
@@ -22,41 +28,87 @@
 const hashRange = 2 ** 32;
 /** Factor by which a server may exceed the mean number of this host's requests in flight per server. */
 const excessFactor = 1.5;
+/**
+Largest part of the load of a server that one shared part may make up before it is spread over another server: for a host that
+has a request in flight at each server, and thus notices an overloaded one, and for a host that has hardly any.
+*/
+const maxPartLoad = {manyInFlight: 0.8, fewInFlight: 0.35} as const;
+
+/** A server with its place in the order for a shared part; the highest rank comes first. */
+interface RankedServer {
+	readonly record: ServerRecord;
+	readonly rank: number;
+}
 
 /**
-Places requests that share a part of their prompt on the same server by rendezvous hashing with bounded loads. All hosts of
-a zone choose the same server, unless it exceeds its load bound; the bound keeps a popular part from overloading one server.
-Servers of the host's own zone are preferred, because long prompts make up most of the traffic between zones. Affinity
-helps when processing and sending prompts takes much of the time.
+Places requests that share a part of their prompt on few servers by rendezvous hashing with bounded loads. All hosts of a zone
+choose the same servers: as many as the work of the part takes, which each host knows from its own requests, and among them
+one by the subject of the request. So a popular part does not overload a server even when each host has too few requests in
+flight to notice. Servers of the host's own zone are preferred, because long prompts make up most of the traffic between zones.
 */
 export class AffinityPlacement implements Placement {
+	private readonly _shares = new Map<string, PartShares>();
+
 	constructor(private readonly _random: RandomSource) {}
 
-	choose({affinityKey, zone}: PlacementRequest, candidates: readonly ServerRecord[], now: number): ServerRecord | undefined {
+	choose(request: PlacementRequest, candidates: readonly ServerRecord[], now: number): ServerRecord | undefined {
+		const {service, affinityKey, zone, work} = request;
+		const shares = this._sharesOf(service);
+		shares.record(affinityKey, work, now);
 		const usable = preferred(candidates, now);
 		if (affinityKey === undefined || usable.length < 2) {
 			return leastLoaded(usable, zone, this._random);
 		}
 
-		const mean = usable.reduce((sum, {inFlight}) => sum + inFlight, 0) / usable.length;
-		const limit = Math.max(mean * excessFactor, mean + excessRequests);
-		const seed = hashString(affinityKey);
-		let best: ServerRecord | undefined;
-		let bestRank = -1;
-		for (const record of usable) {
-			const {server, inFlight} = record;
-			const rank = hashString(server.id, seed) + (server.zone === zone ? hashRange : 0);
-			// The limit is above the mean, so at least one server is below the limit.
-			if (inFlight <= limit && rank > bestRank) {
-				best = record;
-				bestRank = rank;
-			}
+		const meanInFlight = usable.reduce((sum, {inFlight}) => sum + inFlight, 0) / usable.length;
+		const inZone = usable.filter(({server}) => server.zone === zone).length;
+		const near = inZone > 0 ? inZone : usable.length;
+		const count = Math.min(near, Math.max(1, Math.ceil(shares.share(affinityKey, now) * near / partLoadAt(meanInFlight))));
+		const ranked = rank(usable.filter(({inFlight}) => inFlight <= loadLimit(meanInFlight)), hashString(affinityKey), zone);
+		const chosen = chooseBySubject(request.subjectKey, ranked.slice(0, count), now);
+		chosen?.recentWork.add(work, now);
+		return chosen;
+	}
+
+	private _sharesOf(service: string): PartShares {
+		let shares = this._shares.get(service);
+		if (!shares) {
+			shares = new PartShares();
+			this._shares.set(service, shares);
 		}
 
-		return best;
+		return shares;
 	}
 }
 
+/** Largest part of a server's load that a shared part may make up, by the mean number of this host's requests in flight per server. */
+function partLoadAt(meanInFlight: number): number {
+	const {manyInFlight, fewInFlight} = maxPartLoad;
+	return fewInFlight + (Math.min(1, meanInFlight) * (manyInFlight - fewInFlight));
+}
+
+/** Number of this host's requests in flight above which a server gets no more; above the mean, so at least one server is below it. */
+function loadLimit(meanInFlight: number): number {
+	return Math.max(meanInFlight * excessFactor, meanInFlight + excessRequests);
+}
+
+/** Orders servers by rendezvous hashing; servers of the host's zone come first. */
+function rank(servers: readonly ServerRecord[], seed: number, zone: string): RankedServer[] {
+	return servers
+		.map(record => ({record, rank: hashString(record.server.id, seed) + (record.server.zone === zone ? hashRange : 0)}))
+		.sort((left, right) => right.rank - left.rank);
+}
+
+/**
+Chooses between the two servers with the highest ranks for the subject, where its own prompt parts may be kept, the one to which
+this host has recently sent less work.
+*/
+function chooseBySubject(subjectKey: string | undefined, servers: readonly RankedServer[], now: number): ServerRecord | undefined {
+	const seed = hashString(subjectKey ?? '');
+	const [first, second] = servers.map(({record}) => ({record, rank: hashString(record.server.id, seed)})).sort((left, right) => right.rank - left.rank);
+	return second && second.record.recentWork.at(now) < first!.record.recentWork.at(now) ? second.record : first?.record;
+}
+
 /** Returns the healthy servers that did not report an overload recently, else all healthy ones, else all. */
 function preferred(candidates: readonly ServerRecord[], now: number): readonly ServerRecord[] {
 	const healthy = candidates.filter(({health}) => health.isAvailable(now));
--- a/src/common/forwarding/server-pool.ts
+++ b/src/common/forwarding/server-pool.ts
@@ -1,5 +1,6 @@
 import {backendKey, type BackendServer} from '../control/backend-server.js';
 import {BackendHealth} from '../routing/backend-health.js';
+import {DecayedSum} from './decayed-sum.js';
 import {RequestLimit} from './request-limit.js';
 
 /** Backoff in milliseconds after a backend server refused a request without naming a time. */
@@ -11,11 +12,15 @@
 /** Maximum number of records of processes that are not listed. */
 const maxUnlisted = 2000;
 const msPerSecond = 1000;
+/** Time in milliseconds after which work that was sent to a server counts half. */
+const workHalfLifeMs = 10_000;
 
 /** A process of a backend server, with the state that this host derives from its own requests. */
 export class ServerRecord {
 	readonly health = new BackendHealth();
 	readonly limit: RequestLimit;
+	/** Work that this host has recently sent to the process, in the unit of a prompt token. */
+	readonly recentWork = new DecayedSum(workHalfLifeMs);
 	/** Number of attempts of this host in flight. */
 	inFlight = 0;
 	/** Time until which the backend server counts as overloaded after it refused a request. */
