Start the trial of a release by the latest request rate

Cause: with the highest rate seen, the trial starts later too.

Ruled out: the mean rate since the start.

Change: only the move is planned with the highest rate; it takes account of what the trial has used.

Before and after: all 62 tests of the release folder pass in both.

--- a/src/common/release/release-schedule.test.ts
+++ b/src/common/release/release-schedule.test.ts
@@ -22,7 +22,7 @@
 	for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += stepMs) {
 		if (stage !== releaseStage.moving) {
 			stage = allowedStage({
-				elapsedMs, durationMs, trialShare: share, exposed, all: perSecond * elapsedMs / msPerSecond, peakPerSecond: perSecond,
+				elapsedMs, durationMs, trialShare: share, exposed, all: perSecond * elapsedMs / msPerSecond, perSecond, peakPerSecond: perSecond,
 			}, limit);
 		}
 
--- a/src/common/release/release-schedule.ts
+++ b/src/common/release/release-schedule.ts
@@ -22,7 +22,9 @@
 	/** Requests sent to the new release and to all since the start. */
 	readonly exposed: number;
 	readonly all: number;
-	/** Highest request rate in 1/s so far; the rate at the time of a decision may be that of a quiet moment. Undefined when it is not known yet. */
+	/** Latest request rate in 1/s; undefined when it is not known yet. */
+	readonly perSecond: number | undefined;
+	/** Highest request rate in 1/s so far; the latest one may be that of a quiet moment. */
 	readonly peakPerSecond: number | undefined;
 }
 
@@ -59,7 +61,7 @@
 Returns the stage that a roll-out may be in. The trial and the move start as late as the exposure limit requires, so that the
 limit holds for a release with faults that the trial does not show.
 */
-export function allowedStage({elapsedMs, durationMs, trialShare: share, exposed, all, peakPerSecond}: RolloutProgress, limit: ExposureLimit): ReleaseStage {
+export function allowedStage({elapsedMs, durationMs, trialShare: share, exposed, all, perSecond, peakPerSecond}: RolloutProgress, limit: ExposureLimit): ReleaseStage {
 	const remainingMs = durationMs - elapsedMs;
 	if (remainingMs <= endMarginMs) {
 		return releaseStage.ending;
@@ -69,16 +71,18 @@
 		return releaseStage.waiting;
 	}
 
-	if (peakPerSecond === undefined) {
+	if (perSecond === undefined || peakPerSecond === undefined) {
 		return elapsedMs >= durationMs * unmeasuredTrialFrom ? releaseStage.trial : releaseStage.waiting;
 	}
 
-	const remaining = peakPerSecond * remainingMs / msPerSecond;
+	const planned = (remaining: number) => plannedFraction * ((limit.share * (all + remaining)) + limit.slack);
+	const mostRemaining = peakPerSecond * remainingMs / msPerSecond;
 	const unreported = peakPerSecond * share * reportLagMs / msPerSecond;
-	const planned = plannedFraction * ((limit.share * (all + remaining)) + limit.slack);
-	if (elapsedMs >= durationMs * moveFrom && exposed + unreported + remaining <= planned) {
+	if (elapsedMs >= durationMs * moveFrom && exposed + unreported + mostRemaining <= planned(mostRemaining)) {
 		return releaseStage.moving;
 	}
 
-	return remaining * share <= planned * trialFraction ? releaseStage.trial : releaseStage.waiting;
+	// The trial may be planned with the latest rate: the move is planned with what the trial has used.
+	const remaining = perSecond * remainingMs / msPerSecond;
+	return remaining * share <= planned(remaining) * trialFraction ? releaseStage.trial : releaseStage.waiting;
 }
--- a/src/common/release/release-supervisor.ts
+++ b/src/common/release/release-supervisor.ts
@@ -103,7 +103,7 @@
 		const {old, target} = this._serverCounts(rollout);
 		const {exposed, all, perSecond, peakPerSecond} = traffic;
 		const stage = allowedStage({
-			elapsedMs, durationMs, trialShare: trialShare(old), exposed, all, peakPerSecond,
+			elapsedMs, durationMs, trialShare: trialShare(old), exposed, all, perSecond, peakPerSecond,
 		}, this._options.exposureLimit);
 		this._log(rollout, observation, judged, {
 			elapsedMs: Math.round(elapsedMs), stage, perSecond: perSecond && Math.round(perSecond), peakPerSecond: peakPerSecond && Math.round(peakPerSecond),
