--- a/src/common/forwarding/server-requests.test.ts
+++ b/src/common/forwarding/server-requests.test.ts
@@ -194,3 +194,32 @@
 
 	expect(pool.notDraining('s')[0]!.health.isEjected).toBe(false);
 });
+
+// Guards against a running request that is aborted or sent again because its server is silent towards control, leaves, or asks for
+// a pause meanwhile.
+it.each<{name: string; change: 'unlisted' | 'draining' | 'leaving' | 'paused'}>([
+	{name: 'is no longer listed', change: 'unlisted'},
+	{name: 'is listed as draining', change: 'draining'},
+	{name: 'announces that it leaves', change: 'leaving'},
+	{name: 'asks for a pause', change: 'paused'},
+])('lets a request run to its end at a server that $name', ({change}) => {
+	const {port, send, pool} = createForwarderFixture('stream', {}, [testBackend('a')]);
+	const sink = send();
+	const attempt = port.attempts[0]!;
+	attempt.events.onHead(answerHead());
+	if (change === 'unlisted') {
+		pool.update([], 0);
+	} else if (change === 'draining') {
+		pool.update([testBackend('a', {isDraining: true})], 0);
+	} else {
+		send();
+		answerWith(change === 'leaving' ? {isLeaving: true} : paused)(port.attempts[1]!);
+	}
+
+	attempt.events.onData(new TextEncoder().encode('id: 1\ndata: x\n\n'));
+	attempt.events.onEnd();
+	expect(sink.isEnded).toBe(true);
+	expect(sink.text).toContain('id: 1');
+	expect(attempt.isAborted).toBe(false);
+	expect(port.attempts.length).toBe(change === 'leaving' || change === 'paused' ? 2 : 1);
+});
--- a/src/node/http-backend-port.test.ts
+++ b/src/node/http-backend-port.test.ts
@@ -186,3 +186,22 @@
 	[...open][0]!.end();
 	await expect.poll(() => seen).toEqual(['b end']);
 });
+
+// Guards against cutting an answer that is under way because its server is no longer listed.
+it('closes the connections to an address that is no longer listed after its answers have ended', async () => {
+	const closed: string[] = [];
+	const address = await listen(socket => {
+		socket.once('close', () => {
+			closed.push('closed');
+		});
+		socket.write(`${head}content-length: 6\r\n\r\nabc`);
+		setTimeout(() => {
+			socket.write('def');
+		}, 100);
+	});
+	const answer = send(address);
+	await delay(50);
+	port!.retain(new Set());
+	expect(await answer).toEqual(['head 200', 'data 3', 'data 3', 'end']);
+	await expect.poll(() => closed).toEqual(['closed']);
+});
