Pass on comments of a stream with the next event or its end

Cause: found while reading the change. Blocks without an event were dropped, so an answer with comments reached the caller changed.

Ruled out: relaying them at once. A server that sends blank lines or comments without an end would then fill the caller's answer.

Change: they are held, within the 64 KiB for an event, until an event or the end follows.

Conclusion: answers are unchanged, and bytes without an event stay bounded.

--- a/src/common/forwarding/answer-relay.ts
+++ b/src/common/forwarding/answer-relay.ts
@@ -58,7 +58,7 @@
 	}
 
 	/** Ends a complete answer. @returns whether the caller can see that it is complete. */
-	end({bufferedChunks, bufferedBytes}: Attempt, head: AnswerHead): boolean {
+	end({bufferedChunks, bufferedBytes, splitter}: Attempt, head: AnswerHead): boolean {
 		if (!this._isStreamed(head)) {
 			this._sink.writeHead(head.status, head.headers, head.isUnframed ? 'until-close' : bufferedBytes);
 			for (const chunk of bufferedChunks) {
@@ -68,6 +68,8 @@
 			// The caller's stream is framed, but this answer ends with its connection: a crash would look the same as its end.
 			this._sink.destroy();
 			return false;
+		} else if (splitter.held.length > 0) {
+			this._sink.write(splitter.held);
 		}
 
 		this._sink.end();
--- a/src/common/forwarding/event-splitter.test.ts
+++ b/src/common/forwarding/event-splitter.test.ts
@@ -54,3 +54,16 @@
 	expect(batch.problem).toBe(problem);
 	expect(batch.lastId).toBe(lastId);
 });
+
+// Guards against an answer that is not passed on unchanged because it has comments, and against comments that a caller gets without
+// an event.
+it.each([
+	{chunks: [': a\n\n', 'id: 1\ndata: x\n\n', ': b\n\n'], passedOn: ': a\n\nid: 1\ndata: x\n\n', held: ': b\n\n'},
+	{chunks: [': a\n', '\nid: 1\ndata: x\n\n: b\n\n', 'id: 2\n\n'], passedOn: ': a\n\nid: 1\ndata: x\n\n: b\n\nid: 2\n\n', held: ''},
+	{chunks: ['\n\n', ': a\n\n'], passedOn: '', held: '\n\n: a\n\n'},
+])('passes on $passedOn of $chunks and holds $held', ({chunks, passedOn, held}) => {
+	const splitter = new EventSplitter();
+	const events = chunks.map(chunk => splitter.push(encoder.encode(chunk)).completeEvents);
+	expect(events.map(bytes => bytes ? decoder.decode(bytes) : '').join('')).toBe(passedOn);
+	expect(decoder.decode(splitter.held)).toBe(held);
+});
--- a/src/common/forwarding/event-splitter.ts
+++ b/src/common/forwarding/event-splitter.ts
@@ -1,6 +1,6 @@
 const lineFeed = 10;
 const carriageReturn = 13;
-/** Longest event in bytes; a longer one is taken for bytes that are no answer. */
+/** Maximum number of bytes before the end of an event; more are taken for bytes that are no answer. */
 const maxEventBytes = 64 * 1024;
 
 /** Why a stream is no valid answer. */
@@ -31,6 +31,7 @@
 */
 export class EventSplitter {
 	private _remainder: Uint8Array = new Uint8Array(0);
+	private _held: Uint8Array = new Uint8Array(0);
 	private _lastId: number | undefined;
 
 	/** Bytes of an incomplete event. */
@@ -38,6 +39,11 @@
 		return this._remainder;
 	}
 
+	/** Blocks without an event since the last event; they belong to the answer if an event or its end follows. */
+	get held(): Uint8Array {
+		return this._held;
+	}
+
 	/** Whether an event is complete. */
 	get hasEvents(): boolean {
 		return this._lastId !== undefined;
@@ -47,7 +53,7 @@
 		const bytes = this._remainder.length === 0 ? chunk : concat(this._remainder, chunk);
 		const end = endOfLastEvent(bytes);
 		this._remainder = bytes.subarray(end);
-		if (this._remainder.length > maxEventBytes) {
+		if (this._held.length + this._remainder.length > maxEventBytes) {
 			return {...noEvents, problem: 'event-too-long'};
 		}
 
@@ -55,9 +61,9 @@
 			return noEvents;
 		}
 
-		const completeEvents = bytes.subarray(0, end);
+		const blocks = bytes.subarray(0, end);
 		let count = 0;
-		for (const block of decoder.decode(completeEvents).split(eventEnd)) {
+		for (const block of decoder.decode(blocks).split(eventEnd)) {
 			const id = idLine.exec(block)?.groups?.id;
 			if (id === undefined) {
 				if (!noEventBlock.test(block)) {
@@ -71,7 +77,9 @@
 			}
 		}
 
+		const completeEvents = this._held.length === 0 ? blocks : concat(this._held, blocks);
 		// Without an event, the bytes only keep the connection open.
+		this._held = count === 0 ? completeEvents : new Uint8Array(0);
 		return count === 0 ? noEvents : {completeEvents, lastId: this._lastId, count};
 	}
 }
