--- a/src/common/forwarding/choose-server.ts
+++ b/src/common/forwarding/choose-server.ts
@@ -23,7 +23,7 @@
 	const now = clock.now();
 	const untried = pool.notDraining(service).filter(record => !tried.has(record.key) && record.accepts(now) && record.limit.allows(share));
 	const candidates = serversForRelease(rollout, session, untried, now);
-	// The last part belongs to this request alone. The part before it stands for the longest prefix shared with other requests.
+	// The last part belongs to this request, its session or its subject alone. The part before it stands for the longest prefix shared with other requests.
 	const affinityKey = parts.at(-2)?.id ?? parts[0]?.id;
 	const record = placement.choose({
 		service, affinityKey, subjectKey: parts.at(-1)?.id, work: workOf(req), zone,
