Name the hosts that an unanswered control request asked, and log each read

A read that ends with "no control leader answered" did not say which hosts were asked and how each attempt ended, so a stale belief about the leader and slow processes look the same. The error now lists the last attempts; a completed read logs its commit index, applied index, version and leader.

--- a/src/common/control/leader-client.ts
+++ b/src/common/control/leader-client.ts
@@ -1,3 +1,4 @@
+import {type AppError} from '../base/app-error.js';
 import {type Clock} from '../base/clock.js';
 import {PeerCallError, PeerTimeoutError, PeerUnreachableError} from '../base/peer-errors.js';
 import {type PeerMethod} from '../base/peer-method.js';
@@ -9,6 +10,8 @@
 /** Maximum backoff in milliseconds; a new leader must be found well within the duration of a lease. */
 const maxBackoffMs = 200;
 const initialBackoffMs = 10;
+/** Maximum number of attempts that the error of an unanswered request describes. */
+const maxDescribedAttempts = 6;
 /** Maximum factor on the timeout of calls to a slow host. */
 const maxTimeoutFactor = 4;
 /** Time in milliseconds for which a host counts as slow after a call to it has timed out. */
@@ -78,7 +81,10 @@
 	*/
 	async request<Params, Result>(method: PeerMethod<Params, Result>, params: Params, limits: {attemptMs: number; deadlineMs: number}): Promise<Result> {
 		const end = this._clock.now() + limits.deadlineMs;
+		const outcomes: string[] = [];
 		for (;;) {
+			const sentAt = this._clock.now();
+			const target = this._chooseTarget();
 			try {
 				// eslint-disable-next-line no-await-in-loop -- attempts follow each other
 				return await this.attempt(method, params, Math.max(1, Math.min(limits.attemptMs, end - this._clock.now())));
@@ -87,9 +93,11 @@
 					throw error;
 				}
 
+				outcomes.push(`${target}: ${describeFailure(error)} after ${Math.round(this._clock.now() - sentAt)} ms`);
 				const waitMs = Math.max(initialBackoffMs, this.backoffMs);
 				if (this._clock.now() + waitMs >= end) {
-					throw new ControlUnavailableError(`no control leader answered ${method.name} within ${limits.deadlineMs} ms`, {cause: error});
+					const describedAttempts = outcomes.slice(-maxDescribedAttempts).join(', ');
+					throw new ControlUnavailableError(`no control leader answered ${method.name} within ${limits.deadlineMs} ms; asked ${describedAttempts}`, {cause: error});
 				}
 
 				// eslint-disable-next-line no-await-in-loop -- waits between attempts
@@ -153,6 +161,16 @@
 	}
 }
 
+/** Describes the failure of an attempt by its code and, if the peer named one, the leader. */
+function describeFailure(error: unknown): string {
+	if (!(error instanceof PeerCallError)) {
+		return (error as AppError).code;
+	}
+
+	const {leader} = (error.data ?? {}) as {leader?: string};
+	return leader === undefined ? error.peerCode : `${error.peerCode}, leader ${leader}`;
+}
+
 /** Whether another attempt, perhaps at another voter, may succeed. */
 function isRetryable(error: unknown): boolean {
 	return error instanceof PeerTimeoutError || error instanceof PeerUnreachableError
--- a/src/common/host/control-host.ts
+++ b/src/common/host/control-host.ts
@@ -219,8 +219,9 @@
 
 	/** Waits until this host has applied all entries that were committed when the call began. */
 	private async _catchUp(): Promise<void> {
-		const {clock} = this._options;
-		const end = clock.now() + readTimeoutMs;
+		const {clock, logger} = this._options;
+		const startedAt = clock.now();
+		const end = startedAt + readTimeoutMs;
 		const {commitIndex} = await this._leaderClient.request(commitIndexMethod, {}, {attemptMs: readTimeoutMs / 2, deadlineMs: readTimeoutMs});
 		while (this._log.appliedIndex < commitIndex) {
 			if (clock.now() >= end) {
@@ -230,5 +231,9 @@
 			// eslint-disable-next-line no-await-in-loop -- waits for the log
 			await sleep(clock, readPollMs);
 		}
+
+		logger.info({
+			term: this._log.term, leader: this._log.leader, commitIndex, applied: this._log.appliedIndex, version: this._state.routing?.version, waitedMs: Math.round(clock.now() - startedAt),
+		}, 'state read');
 	}
 }
