Add a failing test for peer calls that outlast their timeout while connecting

A call to a host that accepts no connection ends only at the connect timeout, whatever its own timeout is.

--- /dev/null
+++ b/src/node/connect-timeout.test.ts
@@ -0,0 +1,46 @@
+import {afterEach, beforeEach, expect, it} from 'vitest';
+import {PeerUnreachableError} from '../common/base/peer-errors.js';
+import {peerMethod} from '../common/base/peer-method.js';
+import {UnacceptingListener} from '../testing/unaccepting-listener.js';
+import {HttpPeerTransport} from './http-peer-transport.js';
+
+const method = peerMethod<Record<string, never>, string>('test.method');
+/** Time in milliseconds after which a call counts as late. */
+const lateMs = 450;
+let listener: UnacceptingListener;
+let transport: HttpPeerTransport;
+
+beforeEach(async () => {
+	listener = await UnacceptingListener.open();
+	transport = new HttpPeerTransport('caller', peer => peer, undefined);
+});
+
+afterEach(async () => {
+	transport.dispose();
+	await listener.close();
+});
+
+async function outcomeOf(call: Promise<unknown>): Promise<unknown> {
+	try {
+		return await call;
+	} catch (error) {
+		return error;
+	}
+}
+
+async function late(): Promise<string> {
+	return new Promise(resolve => {
+		setTimeout(resolve, lateMs, 'late');
+	});
+}
+
+// Guards against a call to a host without power that lasts until the connect timeout, so that a read ends before it has asked another host.
+it.each([50, 200])('ends a call to a host that accepts no connection after its timeout of %i ms', async timeoutMs => {
+	const calls = Array.from({length: 3}, async () => outcomeOf(transport.call(listener.address, method, {}, timeoutMs)));
+	const outcomes = await Promise.all(calls.map(async call => Promise.race([call, late()])));
+	for (const outcome of outcomes) {
+		expect(outcome).toBeInstanceOf(PeerUnreachableError);
+	}
+
+	await Promise.all(calls);
+});
