Let the timeout of a peer call cover the time in which its connection opens

Three hosts gave up their first read after 800 ms, the leader among them.

Cause: the HTTP client checks the signal of a request only once it has a connection. A call to a host that is gone therefore lasted until the connect timeout (set to 500 ms, 600 to 1000 ms in the log) instead of its own 400 ms, and nothing was left of the read for a second host. The same holds for renewals, heartbeats and votes to a host without power.

Ruled out: a leader that does not act as one (it logged that it leads, the hosts kept their leases), and slow processes (0.04 cores at most; the log names the one host that was asked, for 1000 ms).

Change: an exchange of its own per call ends at the timeout of the call, as 'unreachable' when nothing was written, else as 'timeout'.

--- a/src/node/connect-timeout.test.ts
+++ b/src/node/connect-timeout.test.ts
@@ -1,4 +1,6 @@
-import {afterEach, beforeEach, expect, it} from 'vitest';
+import {
+	afterEach, beforeEach, expect, it,
+} from 'vitest';
 import {PeerUnreachableError} from '../common/base/peer-errors.js';
 import {peerMethod} from '../common/base/peer-method.js';
 import {UnacceptingListener} from '../testing/unaccepting-listener.js';
--- a/src/node/http-peer-transport.ts
+++ b/src/node/http-peer-transport.ts
@@ -5,7 +5,7 @@
 import {type PeerMethod} from '../common/base/peer-method.js';
 import {type PeerTransport} from '../common/base/peer-transport.js';
 import {AppError} from '../common/base/app-error.js';
-import {isConnectError} from './connect-error.js';
+import {PeerExchange} from './peer-exchange.js';
 import {
 	handlerFailedCode, peerErrorData, type PeerErrorData, peerHeader, peerPath,
 } from './peer-rpc.js';
@@ -95,35 +95,32 @@
 			throw new PeerUnreachableError(`the address of ${peer} is not known`);
 		}
 
+		const body = await this._exchange(address, payload, {peer, timeoutMs});
 		try {
-			const res = await this._agent.request({
+			return JSON.parse(body) as JSONRPCResponse;
+		} catch (error) {
+			throw new PeerTimeoutError(`unreadable reply from ${peer}`, {cause: error});
+		}
+	}
+
+	private async _exchange(address: string, payload: unknown, {peer, timeoutMs}: CallTarget): Promise<string> {
+		const exchange = new PeerExchange(peer, timeoutMs);
+		try {
+			this._agent.dispatch({
 				origin: `http://${address}`,
 				path: peerPath,
 				method: 'POST',
-				signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
 				headers: {
 					'content-type': 'application/json',
 					[peerHeader]: this.self,
 					...(this._secret !== undefined && {authorization: `Bearer ${this._secret}`}),
 				},
 				body: JSON.stringify(payload),
-			});
-			if (res.statusCode !== 200) {
-				await res.body.dump();
-				throw new PeerUnreachableError(`${peer} refused the call with status ${res.statusCode}`);
-			}
-
-			return await res.body.json() as JSONRPCResponse;
+			}, exchange);
 		} catch (error) {
-			if (error instanceof AppError) {
-				throw error;
-			}
-
-			if (isConnectError(error)) {
-				throw new PeerUnreachableError(`no connection to ${peer} at ${address}`, {cause: error});
-			}
-
-			throw new PeerTimeoutError(`no reply from ${peer} within ${timeoutMs} ms`, {cause: error});
+			exchange.onResponseError(undefined, error as Error);
 		}
+
+		return exchange.body;
 	}
 }
