Ask the leader that the log of a control host names

A control host finds the leader for reads and proposals through a client that learns of it only by its own, rare calls, so its first read after a change of the leader went to the earlier one, even on the new leader itself.

Ruled out: stale log state; the log of each host named the new leader for 14 s before the reads.

Change: the client takes the leader from the log when the log names another one than at its last call. Hints and the search go on as before when that host does not answer.

leader-client.test.ts: the 3 new cases failed before, pass now.

--- a/src/common/control/leader-client.test.ts
+++ b/src/common/control/leader-client.test.ts
@@ -59,3 +59,28 @@
 	expect(backoffs[0]).toBe(10);
 	expect(backoffs[5]).toBeGreaterThanOrEqual(100);
 });
+
+// Guards against a control host whose first read after a change of the leader goes to the earlier leader, although its own log names the new one.
+it.each([
+	{name: 'the leader changes while the client is idle', leaders: ['a', 'b'], calls: [['a'], ['b']]},
+	{name: 'the log knows no leader for a time', leaders: ['a', undefined, 'c'], calls: [['a'], ['a'], ['c']]},
+	{name: 'the same host leads again', leaders: ['a', undefined, 'a'], calls: [['a'], ['a'], ['a']]},
+])('asks the leader that the log names when $name', async ({leaders, calls}) => {
+	let leader: string | undefined;
+	let calledPeers: string[] = [];
+	const transport: PeerTransport = {
+		self: 'b',
+		async call(peer: string) {
+			calledPeers.push(peer);
+			return peer as never;
+		},
+		handle: () => ({dispose: () => undefined}),
+	};
+	const client = new LeaderClient(transport, () => ['a', 'b', 'c'], new ManualClock(), new SeededRandom(2), () => leader);
+	for (const [index, expected] of calls.entries()) {
+		leader = leaders[index];
+		calledPeers = [];
+		await client.request(method, {}, {attemptMs: 400, deadlineMs: 800}); // eslint-disable-line no-await-in-loop -- requests follow each other
+		expect(calledPeers).toEqual(expected);
+	}
+});
--- a/src/common/control/leader-client.ts
+++ b/src/common/control/leader-client.ts
@@ -22,6 +22,8 @@
 	private _target: string | undefined;
 	/** Leader named by a voter. It may be missing from the list of voters if it became a voter after the list was made. */
 	private _hint: string | undefined;
+	/** Leader that the log of this host named when a target was last chosen. */
+	private _loggedLeader: string | undefined;
 	private _failures = 0;
 	/** Consecutive hints followed; more than one means that the voters do not agree on a leader yet. */
 	private _redirects = 0;
@@ -34,6 +36,8 @@
 		private readonly _voters: () => readonly string[],
 		private readonly _clock: Clock,
 		private readonly _random: RandomSource,
+		/** Leader according to the log of this host; undefined when unknown or when this host has no log. */
+		private readonly _leaderByLog: () => string | undefined = () => undefined,
 	) {}
 
 	/** Failed attempts since the last reply of a leader. */
@@ -112,6 +116,13 @@
 	}
 
 	private _chooseTarget(): string {
+		const loggedLeader = this._leaderByLog();
+		if (loggedLeader !== undefined && loggedLeader !== this._loggedLeader) {
+			this._target = loggedLeader;
+			this._hint = loggedLeader;
+		}
+
+		this._loggedLeader = loggedLeader;
 		const voters = this._voters();
 		if (this._target === undefined || (this._target !== this._hint && !voters.includes(this._target))) {
 			// Daemons start at random voters, so that no voter gets all first calls.
--- a/src/common/host/control-host.ts
+++ b/src/common/host/control-host.ts
@@ -96,7 +96,7 @@
 		const supervisor = this._store.add(new ReleaseSupervisor({...shared, leadership: this._service.leadership}));
 		this._store.add(this._service.addSection(supervisor));
 		this._store.add(this._service.addSection(new StickySessionExchange(clock, _options.sessionMs)));
-		this._leaderClient = new LeaderClient(transport, () => [...new Set([...this._voters, ...seeds()])], clock, random);
+		this._leaderClient = new LeaderClient(transport, () => [...new Set([...this._voters, ...seeds()])], clock, random, () => _log.leader);
 		this._entryList = new EntryList(_state, {isValid: () => true}, keepSeconds);
 	}
 
