Make connect timeouts exact

The connect timeout of the HTTP client counts in steps of half a second, so 500 ms for peers and 600 ms for backend servers lasted up to 1000 ms. An attempt at a server without power came back too late for another one.

--- a/src/node/connect-timeout.test.ts
+++ b/src/node/connect-timeout.test.ts
@@ -1,3 +1,4 @@
+import {Agent} from 'undici';
 import {
 	afterEach, beforeEach, expect, it,
 } from 'vitest';
@@ -5,6 +6,7 @@
 import {peerMethod} from '../common/base/peer-method.js';
 import {UnacceptingListener} from '../testing/unaccepting-listener.js';
 import {HttpPeerTransport} from './http-peer-transport.js';
+import {timedConnector} from './timed-connector.js';
 
 const method = peerMethod<Record<string, never>, string>('test.method');
 /** Time in milliseconds after which a call counts as late. */
@@ -46,3 +48,13 @@
 
 	await Promise.all(calls);
 });
+
+// Guards against an attempt at a backend server without power that fails only after up to twice the connect timeout, too late for another server.
+it.each([100, 300])('ends a connection that does not open after %i ms', async timeoutMs => {
+	const startedAt = performance.now();
+	const agent = new Agent({connect: timedConnector(timeoutMs)});
+	const outcome = await outcomeOf(agent.request({origin: `http://${listener.address}`, path: '/', method: 'GET'}));
+	await agent.destroy();
+	expect(outcome).toMatchObject({code: 'UND_ERR_CONNECT_TIMEOUT'});
+	expect(performance.now() - startedAt).toBeLessThan(lateMs);
+});
--- a/src/node/http-backend-port.ts
+++ b/src/node/http-backend-port.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
-import {buildConnector, type Dispatcher, Pool} from 'undici';
+import {type buildConnector, type Dispatcher, Pool} from 'undici';
 import {type Disposable} from '../common/base/disposable.js';
 import {type Logger} from '../common/base/logger.js';
 import {
@@ -8,6 +8,7 @@
 } from '../common/forwarding/backend-port.js';
 import {type AttemptTerms, type ForwardMessage} from '../common/forwarding/forward-request.js';
 import {type BackendCodec} from './backend-codec.js';
+import {timedConnector} from './timed-connector.js';
 
 /** Connect timeout in milliseconds: several times the round trip to another availability zone. */
 const connectTimeoutMs = 600;
@@ -106,7 +107,7 @@
 from the address count as broken.
 */
 function connectorFor(closeDelimited: ReadonlySet<HttpAttempt>): buildConnector.connector {
-	const connect = buildConnector({timeout: connectTimeoutMs});
+	const connect = timedConnector(connectTimeoutMs);
 	return (options, callback) => {
 		connect(options, (...result) => {
 			const [, socket] = result;
--- a/src/node/http-peer-transport.ts
+++ b/src/node/http-peer-transport.ts
@@ -9,6 +9,7 @@
 import {
 	handlerFailedCode, peerErrorData, type PeerErrorData, peerHeader, peerPath,
 } from './peer-rpc.js';
+import {timedConnector} from './timed-connector.js';
 
 type CallTarget = {readonly peer: string; readonly timeoutMs: number; failure?: AppError};
 
@@ -20,7 +21,7 @@
 /** Peer transport that uses JSON-RPC 2.0 over persistent HTTP connections. */
 export class HttpPeerTransport implements PeerTransport, Disposable {
 	private readonly _agent = new Agent({
-		connections: connectionsPerPeer, pipelining: 1, connect: {timeout: connectTimeoutMs}, headersTimeout: 0, bodyTimeout: 0,
+		connections: connectionsPerPeer, pipelining: 1, connect: timedConnector(connectTimeoutMs), headersTimeout: 0, bodyTimeout: 0,
 	});
 
 	private readonly _server = new JSONRPCServer<string>({
--- /dev/null
+++ b/src/node/timed-connector.ts
@@ -0,0 +1,22 @@
+import {type Socket} from 'node:net';
+import {buildConnector, errors} from 'undici';
+
+/** A connector of the HTTP client; its type omits the socket that it returns. */
+type SocketConnector = (...args: Parameters<buildConnector.connector>) => Socket;
+
+/**
+Creates a connector whose timeout is exact. The connect timeout of the HTTP client has a resolution of half a second, so that one
+of 500 ms may last 1000 ms.
+*/
+export function timedConnector(timeoutMs: number): buildConnector.connector {
+	const connect = buildConnector({timeout: 0}) as unknown as SocketConnector;
+	return (options, callback) => {
+		const socket = connect(options, (...result) => {
+			clearTimeout(timer);
+			callback(...result);
+		});
+		const timer = setTimeout(() => {
+			socket.destroy(new errors.ConnectTimeoutError(`no connection to ${options.hostname}:${options.port} within ${timeoutMs} ms`));
+		}, timeoutMs);
+	};
+}
