--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -33,6 +33,8 @@
 	/** Description of each attempt, for the log. */
 	private readonly _trail: string[] = [];
 	private _mayHaveRun = false;
+	/** Whether a connection broke under an attempt. */
+	private _isBroken = false;
 	private _current: Attempt | undefined;
 	private _timer: Disposable | undefined;
 	private _isFinished = false;
@@ -279,6 +281,7 @@
 
 	private _onFailure(attempt: Attempt, {isUnsent, reason}: AttemptFailure): void {
 		if (!isUnsent) {
+			this._isBroken = true;
 			this._fail(attempt, reason);
 			return;
 		}
@@ -402,7 +405,7 @@
 		this._timer?.dispose();
 		this._delivery.dispose();
 		reportRequest(this._services, this._admitted, {
-			startedAt: this.startedAt, attempts: this._attempts.count, trail: this._trail, outcome,
+			startedAt: this.startedAt, attempts: this._attempts.count, trail: this._trail, outcome, isBroken: this._isBroken,
 		});
 		this._onFinished();
 	}
