--- /dev/null
+++ b/src/testing/crash-simulation.ts
@@ -0,0 +1,290 @@
+import {SeededRandom} from '../common/base/seeded-random.js';
+import {type BackendServer} from '../common/control/backend-server.js';
+import {RetryBudget} from '../common/entry/retry-budget.js';
+import {type Forwarder} from '../common/forwarding/forwarder.js';
+import {repetition} from '../common/forwarding/routing-config.js';
+import {ServerPool} from '../common/forwarding/server-pool.js';
+import {
+	createTestForwarder, testBackend, testRoute, testTable,
+} from './forwarder-fixture.js';
+import {ManualClock} from './manual-clock.js';
+import {RecordingSink} from './recording-sink.js';
+import {answerHead, type ScriptedAttempt, ScriptedPort} from './scripted-port.js';
+
+/** Requests with a part that ends each server which begins an answer on it. */
+export interface CrashingRequests {
+	readonly part: string;
+	readonly perSecond: number;
+	/** Times in milliseconds between which the requests come. */
+	readonly from: number;
+	readonly until: number;
+}
+
+/** A load on model engines of which some requests end servers. */
+export interface CrashingLoad {
+	readonly seed: number;
+	readonly hosts: number;
+	readonly servers: number;
+	/** Rate of sound requests in 1/s. */
+	readonly perSecond: number;
+	/** Number of shared parts that sound requests choose from, popular ones more often. */
+	readonly soundParts?: number;
+	readonly crashing?: readonly CrashingRequests[];
+	/** Times in milliseconds at which a share of the servers ends at the same moment for another reason. */
+	readonly losses?: ReadonlyArray<{readonly at: number; readonly share: number}>;
+	/** Probability with which a server breaks a single connection under an answer and goes on. */
+	readonly brokenConnections?: number;
+}
+
+/** Result of a load. */
+export interface CrashOutcome {
+	/** Servers that ended under each crashing part. */
+	readonly crashes: ReadonlyMap<string, number>;
+	/** Requests with each crashing part that reached a server later than `contactMs` after the fifth end of a server under it. */
+	readonly lateSends: ReadonlyMap<string, number>;
+	/** Share of the sound requests with a complete answer: before the first crash, and from twice `contactMs` after the fifth one. */
+	readonly soundBefore: number;
+	readonly soundAfter: number;
+	/** Sound requests that were refused because of a part of their prompt. */
+	readonly refusedSound: number;
+}
+
+/** Time in milliseconds after which all hosts must keep the requests away. */
+export const contactMs = 3000;
+const crashesBeforeLimit = 5;
+const durationMs = 30_000;
+const prefillMs = 60;
+const eventIntervalMs = 100;
+const events = 4;
+const restartMs = 3000;
+const directoryDelayMs = 100;
+const encoder = new TextEncoder();
+
+/** A process of a simulated server. */
+class SimulatedServer {
+	isUp = true;
+	readonly running = new Set<ScriptedAttempt>();
+	constructor(readonly server: BackendServer) {}
+}
+
+/** Plays a load with the forwarders of all hosts against servers that end when they begin an answer on a crashing part. */
+export async function playCrashingLoad(load: CrashingLoad): Promise<CrashOutcome> {
+	return new CrashSimulation(load).play();
+}
+
+class CrashSimulation {
+	private readonly _clock = new ManualClock();
+	private readonly _random: SeededRandom;
+	private readonly _servers = new Map<string, SimulatedServer>();
+	private readonly _pools: ServerPool[] = [];
+	private readonly _forwarders: Forwarder[] = [];
+	private readonly _crashedAt = new Map<string, number[]>();
+	private readonly _sentAt = new Map<string, number[]>();
+	private readonly _sound: Array<{readonly at: number; readonly sink: RecordingSink}> = [];
+	private _requests = 0;
+
+	constructor(private readonly _load: CrashingLoad) {
+		this._random = new SeededRandom(_load.seed);
+		for (let index = 0; index < _load.servers; index++) {
+			const server = testBackend(`s${index}`, {address: `10.0.1.${index}:1`, capacity: 64});
+			this._servers.set(server.address, new SimulatedServer(server));
+		}
+
+		const table = testTable([testRoute({
+			repetition: repetition.stream, isResumable: true, timeoutMs: 5000, targetLatencyMs: 1500, targetPauseMs: 800, hasPromptParts: true,
+		})], undefined, 300 * _load.hosts);
+		for (let host = 0; host < _load.hosts; host++) {
+			const pool = new ServerPool();
+			const budget = new RetryBudget(0.5, 4);
+			this._pools.push(pool);
+			this._forwarders.push(createTestForwarder({
+				clock: this._clock,
+				lease: {expiresAt: Infinity, isValid: () => true},
+				random: this._random.fork(`host ${host}`),
+				pool,
+				port: new ScriptedPort(attempt => {
+					this._receive(attempt);
+				}),
+				budget: () => budget,
+				state: () => ({
+					table, rollouts: new Map(), hostCount: _load.hosts, hostIndex: host,
+				}),
+			}));
+		}
+
+		this._publishServers();
+	}
+
+	async play(): Promise<CrashOutcome> {
+		const {crashing = [], losses = [], perSecond, soundParts = 40} = this._load;
+		this._arrive(perSecond, 0, durationMs, () => {
+			// The square favours the first parts.
+			this._request(`doc${Math.floor((this._random.next() ** 2) * soundParts)}`, true);
+		});
+		for (const {part, perSecond: rate, from, until} of crashing) {
+			this._arrive(rate, from, until, () => {
+				this._request(part, false);
+			});
+		}
+
+		for (const {at, share} of losses) {
+			this._clock.setTimer(at, () => {
+				for (const simulated of [...this._servers.values()].slice(0, Math.ceil(share * this._servers.size))) {
+					this._end(simulated);
+				}
+			});
+		}
+
+		await this._clock.advance(durationMs);
+		return this._outcome();
+	}
+
+	private _outcome(): CrashOutcome {
+		const {crashing = []} = this._load;
+		const fifthAt = crashing.map(({part}) => this._crashedAt.get(part)?.[crashesBeforeLimit - 1] ?? Infinity);
+		const lateSends = new Map(crashing.map(({part}, index) => [part, (this._sentAt.get(part) ?? []).filter(at => at > fifthAt[index]! + contactMs).length]));
+		const firstAt = Math.min(...crashing.map(({part}) => this._crashedAt.get(part)?.[0] ?? Infinity));
+		const settledAt = Math.max(0, ...fifthAt.filter(at => at < Infinity)) + (2 * contactMs);
+		const answered = (from: number, until: number) => {
+			const due = this._sound.filter(({at}) => at >= from && at < until);
+			return due.filter(({sink}) => sink.isEnded).length / Math.max(1, due.length);
+		};
+
+		return {
+			crashes: new Map(crashing.map(({part}) => [part, this._crashedAt.get(part)?.length ?? 0])),
+			lateSends,
+			soundBefore: answered(0, Math.min(firstAt, durationMs) - 1000),
+			soundAfter: answered(settledAt, durationMs - 1000),
+			refusedSound: this._sound.filter(({sink}) => sink.refusal?.code === 'quarantined-prompt-part').length,
+		};
+	}
+
+	private _arrive(perSecond: number, from: number, until: number, request: () => void): void {
+		const next = () => {
+			if (this._clock.now() < until) {
+				request();
+				this._clock.setTimer(-Math.log(1 - this._random.next()) * 1000 / perSecond, next);
+			}
+		};
+
+		this._clock.setTimer(from, next);
+	}
+
+	private _request(part: string, isSound: boolean): void {
+		const id = `q${++this._requests}`;
+		const sink = new RecordingSink();
+		if (isSound) {
+			this._sound.push({at: this._clock.now(), sink});
+		}
+
+		this._forwarders[this._random.integer(this._load.hosts)]!.forward({
+			id, hostname: 'h', path: '/x', key: undefined, deadlineMs: 5000, session: undefined, resumeAfter: undefined, generation: {
+				model: 'm', inputTokens: 1000, maxOutputTokens: 20, expectedOutputTokens: undefined, parts: [{id: 'root', tokens: 400}, {id: part, tokens: 500}, {id: `own-${id}`, tokens: 100}],
+			}, message: {
+				method: 'POST', target: '/x', headers: ['part', part], body: undefined,
+			},
+		}, sink);
+	}
+
+	private _receive(attempt: ScriptedAttempt): void {
+		const simulated = this._servers.get(attempt.terms.address)!;
+		this._clock.setTimer(1, () => {
+			if (attempt.isAborted) {
+				return;
+			}
+
+			if (!simulated.isUp || simulated.server.id !== attempt.terms.serverId) {
+				attempt.events.onFailure({isUnsent: true, reason: 'ECONNREFUSED'});
+				return;
+			}
+
+			const part = attempt.message.headers[1]!;
+			record(this._sentAt, part, this._clock.now());
+			simulated.running.add(attempt);
+			this._clock.setTimer(prefillMs, () => {
+				this._begin(simulated, attempt, part);
+			});
+		});
+	}
+
+	private _begin(simulated: SimulatedServer, attempt: ScriptedAttempt, part: string): void {
+		if (!simulated.running.has(attempt) || attempt.isAborted) {
+			simulated.running.delete(attempt);
+			return;
+		}
+
+		attempt.events.onHead(answerHead());
+		if (this._load.crashing?.some(crashing => crashing.part === part)) {
+			record(this._crashedAt, part, this._clock.now());
+			this._end(simulated);
+			return;
+		}
+
+		this._sendEvent(simulated, attempt, 1);
+	}
+
+	private _sendEvent(simulated: SimulatedServer, attempt: ScriptedAttempt, id: number): void {
+		this._clock.setTimer(eventIntervalMs, () => {
+			if (!simulated.running.has(attempt) || attempt.isAborted) {
+				simulated.running.delete(attempt);
+				return;
+			}
+
+			if (this._random.next() < (this._load.brokenConnections ?? 0)) {
+				simulated.running.delete(attempt);
+				attempt.events.onFailure({isUnsent: false, reason: 'UND_ERR_SOCKET'});
+				return;
+			}
+
+			if (id <= (attempt.terms.resumeAfter ?? 0) || attempt.events.onData(encoder.encode(`id: ${id}\ndata: x\n\n`))) {
+				if (id < events) {
+					this._sendEvent(simulated, attempt, id + 1);
+				} else {
+					simulated.running.delete(attempt);
+					attempt.events.onEnd();
+				}
+			}
+		});
+	}
+
+	/** Ends a process with all requests that it runs. A new one starts at its address. */
+	private _end(simulated: SimulatedServer): void {
+		if (!simulated.isUp) {
+			return;
+		}
+
+		simulated.isUp = false;
+		for (const attempt of simulated.running) {
+			this._clock.setTimer(1, () => {
+				if (!attempt.isAborted) {
+					attempt.events.onFailure({isUnsent: false, reason: 'UND_ERR_SOCKET'});
+				}
+			});
+		}
+
+		simulated.running.clear();
+		const {server} = simulated;
+		this._clock.setTimer(restartMs, () => {
+			const successor = {...server, id: `${server.address}-${this._clock.now()}`};
+			this._servers.set(server.address, new SimulatedServer(successor));
+			this._clock.setTimer(directoryDelayMs, () => {
+				this._publishServers();
+			});
+		});
+	}
+
+	private _publishServers(): void {
+		for (const pool of this._pools) {
+			pool.update([...this._servers.values()].map(({server}) => server), this._clock.now());
+		}
+	}
+}
+
+function record(times: Map<string, number[]>, key: string, at: number): void {
+	const known = times.get(key);
+	if (known) {
+		known.push(at);
+	} else {
+		times.set(key, [at]);
+	}
+}
