Quarantine prompt parts under which servers end

Cause: nothing related the ends of servers to what the requests had in common. Each host retried such a request at up to three servers, and no host learnt from another.

Ruled out: load (12 requests a second, fewer than before), one host or one customer (all of them lose attempts).

Change: an entry host records the shared parts of the prompts under which connections broke, checks with one connection whether the process has ended, and reports ends at once with the renewals, as well as the parts of complete answers. The leader blames the part that explains most ends; complete answers clear a part, ends at one moment count once. A blamed part is quarantined in the control log, which reaches all hosts with their lease. Requests with it are refused at once, and checked again before each attempt and before bytes are written. A request that has met two broken connections is not sent a third time unless its prompt is known to be sound. The quarantine ends after 10 minutes without such requests.

--- a/src/common/control/control-command.ts
+++ b/src/common/control/control-command.ts
@@ -74,6 +74,14 @@
 	readonly reason: string;
 }
 
+/** Quarantines a part of prompts, because servers end when they begin an answer on it, or lifts the quarantine. */
+export interface QuarantinePart {
+	readonly type: 'quarantine-part' | 'lift-part-quarantine';
+	readonly part: string;
+	/** Human-readable reason. */
+	readonly reason: string;
+}
+
 /** Replaces the routing configuration, unless the current one has the same or a higher version. */
 export interface ApplyRouting {
 	readonly type: 'apply-routing';
@@ -114,4 +122,4 @@
 }
 
 /** Commands of the control log. */
-export type ControlCommand = SubmitDocument | RemoveDocument | WithdrawVersion | EntryJoined | EntryLeft | BackendJoined | BackendRemoved | Quarantine | NextFencing | RolloutStep | BurnSums | ApplyRouting | StartServiceRollout | ServiceRolloutStep;
+export type ControlCommand = SubmitDocument | RemoveDocument | WithdrawVersion | EntryJoined | EntryLeft | BackendJoined | BackendRemoved | Quarantine | QuarantinePart | NextFencing | RolloutStep | BurnSums | ApplyRouting | StartServiceRollout | ServiceRolloutStep;
--- a/src/common/control/control-follower.ts
+++ b/src/common/control/control-follower.ts
@@ -49,6 +49,10 @@
 	private readonly _replica: ControlReplica;
 	private readonly _sections: FollowerSections;
 	private readonly _stop = new AbortController();
+	/** Ends the wait for the next renewal. */
+	private _wait = new AbortController();
+	/** Whether the next renewal must not wait. */
+	private _isUrgent = false;
 	private readonly _onIncarnationChange = new Emitter<number>();
 	private readonly _onSuperseded = new Emitter<void>();
 	private _incarnation: number;
@@ -60,7 +64,9 @@
 
 	constructor(private readonly _options: ControlFollowerOptions) {
 		const {transport, voters, clock, random, entry, logger} = _options;
-		this._sections = new FollowerSections(logger);
+		this._sections = new FollowerSections(logger, () => {
+			this._hasten();
+		});
 		this._incarnation = entry.incarnation;
 		this.leaderClient = new LeaderClient(transport, voters, clock, random);
 		this._replica = new ControlReplica(clock);
@@ -170,6 +176,7 @@
 		const {signal} = this._stop;
 		while (!signal.aborted) {
 			const sentAt = clock.now();
+			this._isUrgent = false;
 			let nextAt = sentAt + renewIntervalMs;
 			try {
 				// eslint-disable-next-line no-await-in-loop -- renewals follow each other
@@ -179,11 +186,19 @@
 				logger.error({err: error}, 'renewal listener failed');
 			}
 
+			const earliestAt = sentAt + minRenewIntervalMs;
+			this._wait = new AbortController();
 			// eslint-disable-next-line no-await-in-loop -- waits for the next renewal
-			await sleep(clock, Math.max(0, nextAt - clock.now()), signal);
+			await sleep(clock, Math.max(0, (this._isUrgent ? earliestAt : nextAt) - clock.now()), AbortSignal.any([signal, this._wait.signal]));
 		}
 	}
 
+	/** Sends the next renewal as soon as possible. */
+	private _hasten(): void {
+		this._isUrgent = true;
+		this._wait.abort();
+	}
+
 	/** Sends one renewal. @returns the time of the next renewal. */
 	private async _renew(sentAt: number): Promise<number> {
 		const {clock, counters} = this._options;
--- a/src/common/control/control-state.ts
+++ b/src/common/control/control-state.ts
@@ -14,6 +14,7 @@
 import {type DocumentRecord} from './document-record.js';
 import {type EntryHost} from './entry-host.js';
 import {type QuarantineRecord} from './quarantine-record.js';
+import {QuarantinedParts} from './quarantined-parts.js';
 import {RolloutTable} from './rollout-table.js';
 import {type RoutingRecord} from './routing-record.js';
 import {RoutingState} from './routing-state.js';
@@ -34,6 +35,7 @@
 	burn?: BurnSumSnapshot;
 	routing?: RoutingRecord;
 	serviceRollouts?: Array<[string, ServiceRollout]>;
+	quarantinedParts?: Array<[string, number]>;
 };
 
 /** State machine of the control log: documents, directory, quarantines, roll-outs and the fencing number. */
@@ -52,6 +54,7 @@
 	private readonly _rollouts = new RolloutTable();
 	private readonly _serviceRollouts = new ServiceRolloutTable();
 	private readonly _routing = new RoutingState();
+	private readonly _quarantinedParts = new QuarantinedParts();
 	private readonly _changes = new ChangeHistory();
 
 	get revision(): number {
@@ -104,6 +107,11 @@
 		return this._routing.record;
 	}
 
+	/** Revisions at which parts of prompts were quarantined, by part. */
+	get quarantinedParts(): ReadonlyMap<string, number> {
+		return this._quarantinedParts.revisions;
+	}
+
 	isQuarantined(service: string, requestClass: string, ref: VersionRef): boolean {
 		return this._quarantines.has(quarantineKey(service, requestClass, ref)) || this._quarantines.has(quarantineKey(service, '*', ref));
 	}
@@ -146,6 +154,11 @@
 				return this._quarantine(index, command);
 			}
 
+			case 'quarantine-part':
+			case 'lift-part-quarantine': {
+				return this._quarantinedParts.apply(index, command);
+			}
+
 			case 'rollout-step': {
 				return this._rollouts.step(index, command);
 			}
@@ -187,6 +200,7 @@
 			burn: this.burnSums.snapshot(),
 			routing: this._routing.record,
 			serviceRollouts: this._serviceRollouts.snapshot(),
+			quarantinedParts: this._quarantinedParts.snapshot(),
 		};
 		// Records are replaced and never mutated, so a snapshot may share them with the state.
 		return snapshot;
@@ -212,6 +226,7 @@
 		this._rollouts.restore(data.rollouts);
 		this._serviceRollouts.restore(data.serviceRollouts);
 		this._routing.restore(data.routing);
+		this._quarantinedParts.restore(data.quarantinedParts);
 		this._liftedAt.clear();
 		for (const [key, revision] of data.lifted) {
 			this._liftedAt.set(key, revision);
--- a/src/common/control/control-view.ts
+++ b/src/common/control/control-view.ts
@@ -23,6 +23,8 @@
 	readonly serviceRollouts: ReadonlyMap<string, ServiceRollout>;
 	/** The current routing configuration; undefined before the first one. */
 	readonly routing: RoutingRecord | undefined;
+	/** Revisions at which parts of prompts were quarantined, by part; servers end when they begin an answer on such a part. */
+	readonly quarantinedParts: ReadonlyMap<string, number>;
 	isQuarantined(service: string, requestClass: string, ref: VersionRef): boolean;
 	/** Revision at which a quarantine of the version was lifted; undefined when none was. */
 	liftedAt(service: string, requestClass: string, ref: VersionRef): number | undefined;
--- a/src/common/control/follower-sections.ts
+++ b/src/common/control/follower-sections.ts
@@ -8,12 +8,19 @@
 export class FollowerSections {
 	private readonly _sections = new Set<FollowerSection<unknown, unknown>>();
 
-	constructor(private readonly _logger: Logger) {}
+	/** `_onUrgent` is called when a section asks for an early renewal. */
+	constructor(private readonly _logger: Logger, private readonly _onUrgent: () => void) {}
 
 	add<Request, Reply>(section: FollowerSection<Request, Reply>): Disposable {
 		const added = section as FollowerSection<unknown, unknown>;
 		this._sections.add(added);
-		return {dispose: () => this._sections.delete(added)};
+		const subscription = added.onUrgent?.(this._onUrgent);
+		return {
+			dispose: () => {
+				subscription?.dispose();
+				this._sections.delete(added);
+			},
+		};
 	}
 
 	/** Collects the parts to send with the next renewal. */
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -7,13 +7,14 @@
 import {attemptTerms} from './attempt-terms.js';
 import {chooseServer, limitShare, pauseOfAllMs} from './choose-server.js';
 import {type EscalatingRequest, Escalation} from './escalation.js';
-import {type AnswerHead} from './forward-request.js';
+import {type AnswerHead, type PromptPart} from './forward-request.js';
 import {type ForwardServices} from './forward-services.js';
 import {type AdmittedRequest} from './forwarder.js';
 import {
-	mayHaveRunRefusal, notRunRefusal, pausedRefusal, timeoutReason,
+	mayHaveRunRefusal, notRunRefusal, pausedRefusal, quarantinedReason, quarantinedRefusal, timeoutReason,
 } from './router-refusals.js';
 import {guardedEvents} from './guarded-events.js';
+import {quarantinedPart} from './quarantined-part.js';
 import {headVerdict, isSuccess, judgeHead} from './head-verdict.js';
 import {RequestModel} from './request-model.js';
 import {RequestAttempts} from './request-attempts.js';
@@ -22,6 +23,9 @@
 import {type ServerRecord} from './server-pool.js';
 import {reportRequest} from './request-report.js';
 
+/** Number of broken connections after which a request is not sent again, unless its prompt is known to be sound. */
+const maxUnexplainedBreaks = 2;
+
 /** Forwards one request from its admission to its final answer: attempts, retries, escalation, resumption and timeout. */
 export class ForwardRun implements EscalatingRequest {
 	readonly startedAt: number;
@@ -33,8 +37,8 @@
 	/** Description of each attempt, for the log. */
 	private readonly _trail: string[] = [];
 	private _mayHaveRun = false;
-	/** Whether a connection broke under an attempt. */
-	private _isBroken = false;
+	/** Number of attempts under which a connection broke. */
+	private _brokenAttempts = 0;
 	private _current: Attempt | undefined;
 	private _timer: Disposable | undefined;
 	private _isFinished = false;
@@ -62,6 +66,15 @@
 		return this.deadlineAt - this._services.clock.now();
 	}
 
+	private get _parts(): readonly PromptPart[] {
+		return this._admitted.req.generation?.parts ?? [];
+	}
+
+	/** Whether the request may be the cause of broken connections, because it has met several and parts of its prompt are not known to be sound. */
+	private get _mayEndServers(): boolean {
+		return this._brokenAttempts >= maxUnexplainedBreaks && !this._services.crashes.isSound(this._parts);
+	}
+
 	start(): void {
 		const {clock, budget} = this._services;
 		budget(this._admitted.service).recordRequest();
@@ -124,6 +137,13 @@
 
 	/** Sends the request to the best backend server, except the given ones. */
 	private _sendToBest(excluded: ReadonlySet<string>): void {
+		const part = quarantinedPart(this._services.state(), this._admitted.req);
+		if (part !== undefined) {
+			this._services.crashes.recordRefused(part);
+			this._endWithoutAnswer(quarantinedReason);
+			return;
+		}
+
 		const record = chooseServer(this._services, this._admitted, excluded);
 		if (record) {
 			this._send(record);
@@ -160,7 +180,7 @@
 	/** Returns the handlers for the events of an attempt; they ignore events after the attempt or the request has finished. */
 	private _eventsOf(attempt: Attempt): AttemptEvents {
 		return guardedEvents(() => !attempt.isFinished && !this._isFinished, {
-			mayStart: () => this._services.lease.isValid() && attempt.record.accepts(this._services.clock.now()),
+			mayStart: () => this._services.lease.isValid() && attempt.record.accepts(this._services.clock.now()) && quarantinedPart(this._services.state(), this._admitted.req) === undefined,
 			onHead: head => {
 				this._onHead(attempt, head);
 			},
@@ -269,11 +289,16 @@
 
 		const problem = this._delivery.problemOf(attempt);
 		if (problem) {
+			this._recordBroken(attempt);
 			this._fail(attempt, problem);
 			return;
 		}
 
 		this.model.recordEnd(attempt);
+		if (isSuccess(attempt.head!)) {
+			this._services.crashes.recordComplete(this._parts);
+		}
+
 		this._trail.push(attempt.describe(String(attempt.head!.status)));
 		attempt.finish();
 		this._finish(this._delivery.end(attempt) ? 'answered' : 'unframed-end');
@@ -281,7 +306,7 @@
 
 	private _onFailure(attempt: Attempt, {isUnsent, reason}: AttemptFailure): void {
 		if (!isUnsent) {
-			this._isBroken = true;
+			this._recordBroken(attempt);
 			this._fail(attempt, reason);
 			return;
 		}
@@ -299,6 +324,11 @@
 		}
 	}
 
+	private _recordBroken(attempt: Attempt): void {
+		this._brokenAttempts++;
+		this._services.crashes.recordBroken(attempt.record, this._parts);
+	}
+
 	/** Handles an answer which states that the backend server did not run the request. */
 	private _onRefused(attempt: Attempt, {isOtherServer}: AnswerHead): void {
 		const now = this._services.clock.now();
@@ -341,7 +371,7 @@
 			return;
 		}
 
-		if (this.takeRetry()) {
+		if (!this._mayEndServers && this.takeRetry()) {
 			this._attempt();
 		} else {
 			this._endWithoutAnswer(reason);
@@ -366,6 +396,10 @@
 	}
 
 	private _notRunRefusal(reason: string): Refusal {
+		if (reason === quarantinedReason) {
+			return quarantinedRefusal();
+		}
+
 		const pauseMs = pauseOfAllMs(this._services, this._admitted.service);
 		const at = this._services.random();
 		return pauseMs > 0 ? pausedRefusal(pauseMs, at) : notRunRefusal(reason, at);
@@ -405,7 +439,7 @@
 		this._timer?.dispose();
 		this._delivery.dispose();
 		reportRequest(this._services, this._admitted, {
-			startedAt: this.startedAt, attempts: this._attempts.count, trail: this._trail, outcome, isBroken: this._isBroken,
+			startedAt: this.startedAt, attempts: this._attempts.count, trail: this._trail, outcome, isBroken: this._brokenAttempts > 0,
 		});
 		this._onFinished();
 	}
--- a/src/common/forwarding/forward-services.ts
+++ b/src/common/forwarding/forward-services.ts
@@ -5,6 +5,7 @@
 import {type ServiceRollout} from '../control/service-rollout.js';
 import {type RetryBudget} from '../entry/retry-budget.js';
 import {type BackendPort} from './backend-port.js';
+import {type CrashObserver} from './crash-observer.js';
 import {type ModelPolicy} from './model-policy.js';
 import {type ModelSpeeds} from './model-speeds.js';
 import {type Placement} from './placement.js';
@@ -17,6 +18,8 @@
 	/** Undefined before the first configuration. */
 	readonly table: RouteTable | undefined;
 	readonly rollouts: ReadonlyMap<string, ServiceRollout>;
+	/** Parts of prompts under quarantine. */
+	readonly quarantinedParts: Pick<ReadonlyMap<string, unknown>, 'has' | 'size'>;
 	/** Number of hosts that share the connections to backend servers. */
 	readonly hostCount: number;
 	/** Position of this host among them in the order of their names. */
@@ -45,6 +48,7 @@
 	readonly models: ModelPolicy;
 	readonly speeds: ModelSpeeds;
 	readonly observer: ReleaseObserver;
+	readonly crashes: CrashObserver;
 	readonly sessions: SessionStickiness;
 	/** Returns the retry budget of a service. */
 	readonly budget: (service: string) => RetryBudget;
--- a/src/common/forwarding/forwarder.ts
+++ b/src/common/forwarding/forwarder.ts
@@ -3,6 +3,8 @@
 import {LeaseQueue} from './lease-queue.js';
 import {type ForwardServices} from './forward-services.js';
 import {type CallerSink, type Refusal} from './caller-sink.js';
+import {quarantinedPart} from './quarantined-part.js';
+import {quarantinedRefusal} from './router-refusals.js';
 import {type Customer, type Route} from './routing-config.js';
 
 /** Time in seconds from the start of a host to its first lease when all hosts start together: startup, leader election and a renewal. */
@@ -71,7 +73,7 @@
 			const {lease, clock, counters, logger} = this._services;
 			counters.increment('forward.refused', 1, {code: admitted.code});
 			logger.info({
-				req: req.id, status: admitted.status, code: admitted.code, config: this._services.state().table?.cfg.version, leaseLeftMs: Math.round(lease.expiresAt - clock.now()), waitedMs: Math.round(clock.now() - arrivedAt),
+				req: req.id, status: admitted.status, code: admitted.code, part: quarantinedPart(this._services.state(), req), config: this._services.state().table?.cfg.version, leaseLeftMs: Math.round(lease.expiresAt - clock.now()), waitedMs: Math.round(clock.now() - arrivedAt),
 			}, 'request refused');
 			sink.refuse(admitted);
 			return;
@@ -92,7 +94,7 @@
 	}
 
 	private _admit(req: ForwardRequest, arrivedAt: number): AdmittedRequest | Refusal {
-		const {lease, state, random} = this._services;
+		const {lease, state, random, crashes} = this._services;
 		const {table} = state();
 		if (!table || !lease.isValid()) {
 			return {
@@ -110,6 +112,12 @@
 			return {status: 401, code: 'unknown-key', ran: 'no'};
 		}
 
+		const part = quarantinedPart(state(), req);
+		if (part !== undefined) {
+			crashes.recordRefused(part);
+			return quarantinedRefusal();
+		}
+
 		return {
 			req, route, customer, service: pickService(route, random()), configVersion: table.cfg.version, arrivedAt,
 		};
--- a/src/common/forwarding/router-refusals.ts
+++ b/src/common/forwarding/router-refusals.ts
@@ -9,6 +9,11 @@
 const gatewayTimeout = 504;
 const unavailable = 503;
 
+/** Time in seconds after which a caller may ask again with a part under quarantine: the quarantine ends only when no such requests come. */
+const quarantineRetrySeconds = 60;
+
+/** Code of a request with a part under quarantine. */
+export const quarantinedReason = 'quarantined-prompt-part';
 /** Code of a request that reached its deadline. */
 export const timeoutReason = 'timeout';
 
@@ -28,6 +33,13 @@
 	};
 }
 
+/** Refusal of a request that has not run because a part of its prompt is under quarantine. */
+export function quarantinedRefusal(): Refusal {
+	return {
+		status: unavailable, code: quarantinedReason, ran: 'no', retryAfterSeconds: quarantineRetrySeconds,
+	};
+}
+
 /** Refusal of a request that may have run. */
 export function mayHaveRunRefusal(code: string): Refusal {
 	return {status: code === timeoutReason ? gatewayTimeout : badGateway, code, ran: 'unknown'};
--- a/src/common/host/forward-host.ts
+++ b/src/common/host/forward-host.ts
@@ -17,6 +17,7 @@
 import {type ForwardState} from '../forwarding/forward-services.js';
 import {LoadAwareCascade} from '../forwarding/load-aware-cascade.js';
 import {ModelSpeeds} from '../forwarding/model-speeds.js';
+import {CrashRecorder} from '../prompts/crash-recorder.js';
 import {AffinityPlacement} from '../forwarding/placement.js';
 import {RouteTable} from '../forwarding/route-table.js';
 import {type RoutingConfig} from '../forwarding/routing-config.js';
@@ -81,6 +82,8 @@
 		this._store.add(this.follower.addSection(this._recorder));
 		const sessions = new StickySessions(clock, _options.sessionMs, () => [...this.follower.view.serviceRollouts.values()].some(({state, holdsSessions}) => state === serviceRolloutState.inProgress && holdsSessions));
 		this._store.add(this.follower.addSection(sessions));
+		const crashes = this._store.add(new CrashRecorder(_options));
+		this._store.add(this.follower.addSection(crashes));
 		this._store.add(this.follower.onRevision(() => {
 			this._applyRevision();
 		}));
@@ -104,6 +107,7 @@
 			speeds: new ModelSpeeds(),
 			models: new LoadAwareCascade(acceptedConfidence, latencyMargin),
 			observer: this._recorder,
+			crashes,
 			sessions,
 			budget: service => this._budget(service),
 			random: () => random.next(),
@@ -136,7 +140,7 @@
 	private _state(): ForwardState {
 		const {view} = this.follower;
 		return {
-			table: this._table, rollouts: view.serviceRollouts, hostCount: view.entryHosts.size, hostIndex: this._hostIndex,
+			table: this._table, rollouts: view.serviceRollouts, quarantinedParts: view.quarantinedParts, hostCount: view.entryHosts.size, hostIndex: this._hostIndex,
 		};
 	}
 
--- a/src/testing/crash-simulation.ts
+++ b/src/testing/crash-simulation.ts
@@ -1,12 +1,23 @@
+import {type Disposable} from '../common/base/disposable.js';
+import {nullCounters} from '../common/base/null-counters.js';
+import {nullLogger} from '../common/base/null-logger.js';
 import {SeededRandom} from '../common/base/seeded-random.js';
 import {type BackendServer} from '../common/control/backend-server.js';
+import {type ControlCommand} from '../common/control/control-command.js';
+import {type ControlLeadership} from '../common/control/control-leadership.js';
+import {type ControlResult} from '../common/control/control-result.js';
+import {ControlState} from '../common/control/control-state.js';
+import {minRenewIntervalMs, renewHoldMs, renewIntervalMs} from '../common/control/control-times.js';
 import {RetryBudget} from '../common/entry/retry-budget.js';
 import {type Forwarder} from '../common/forwarding/forwarder.js';
 import {repetition} from '../common/forwarding/routing-config.js';
 import {ServerPool} from '../common/forwarding/server-pool.js';
+import {CrashRecorder} from '../common/prompts/crash-recorder.js';
+import {PartQuarantineSupervisor} from '../common/prompts/part-quarantine-supervisor.js';
 import {
 	createTestForwarder, testBackend, testRoute, testTable,
 } from './forwarder-fixture.js';
+import {LocalLog} from './local-log.js';
 import {ManualClock} from './manual-clock.js';
 import {RecordingSink} from './recording-sink.js';
 import {answerHead, type ScriptedAttempt, ScriptedPort} from './scripted-port.js';
@@ -78,6 +89,8 @@
 	private readonly _servers = new Map<string, SimulatedServer>();
 	private readonly _pools: ServerPool[] = [];
 	private readonly _forwarders: Forwarder[] = [];
+	private readonly _state = new ControlState();
+	private readonly _supervisor: PartQuarantineSupervisor;
 	private readonly _crashedAt = new Map<string, number[]>();
 	private readonly _sentAt = new Map<string, number[]>();
 	private readonly _sound: Array<{readonly at: number; readonly sink: RecordingSink}> = [];
@@ -93,21 +106,30 @@
 		const table = testTable([testRoute({
 			repetition: repetition.stream, isResumable: true, timeoutMs: 5000, targetLatencyMs: 1500, targetPauseMs: 800, hasPromptParts: true,
 		})], undefined, 300 * _load.hosts);
+		this._supervisor = new PartQuarantineSupervisor({
+			log: new LocalLog<ControlCommand, ControlResult>('leader', this._state), state: this._state, clock: this._clock, logger: nullLogger, leadership: {period: {}} as unknown as ControlLeadership,
+		});
 		for (let host = 0; host < _load.hosts; host++) {
 			const pool = new ServerPool();
 			const budget = new RetryBudget(0.5, 4);
+			const port = new ScriptedPort(attempt => {
+				this._receive(attempt);
+			});
+			const crashes = new CrashRecorder({
+				clock: this._clock, port: {refusesConnections: async address => !this._servers.get(address)!.isUp}, logger: nullLogger, counters: nullCounters,
+			});
+			const known = this._renewRegularly(`host ${host}`, crashes);
 			this._pools.push(pool);
 			this._forwarders.push(createTestForwarder({
 				clock: this._clock,
 				lease: {expiresAt: Infinity, isValid: () => true},
 				random: this._random.fork(`host ${host}`),
 				pool,
-				port: new ScriptedPort(attempt => {
-					this._receive(attempt);
-				}),
+				port,
+				crashes,
 				budget: () => budget,
 				state: () => ({
-					table, rollouts: new Map(), hostCount: _load.hosts, hostIndex: host,
+					table, rollouts: new Map(), quarantinedParts: known, hostCount: _load.hosts, hostIndex: host,
 				}),
 			}));
 		}
@@ -139,6 +161,43 @@
 		return this._outcome();
 	}
 
+	/** Exchanges the crash reports of a host at intervals. @returns the parts under quarantine that the host knows of. */
+	private _renewRegularly(host: string, crashes: CrashRecorder): ReadonlySet<string> {
+		const known = new Set<string>();
+		let isUrgent = false;
+		let isInFlight = false;
+		let timer: Disposable | undefined;
+		const renew = () => {
+			timer?.dispose();
+			isUrgent = false;
+			isInFlight = true;
+			const report = crashes.collect(1);
+			if (report) {
+				this._supervisor.receive({host, incarnation: 1}, report);
+			}
+
+			// The leader holds a renewal until there is something new, here always for the longest time.
+			this._clock.setTimer(renewHoldMs, () => {
+				isInFlight = false;
+				crashes.acknowledge(1, report);
+				for (const part of this._state.quarantinedParts.keys()) {
+					known.add(part);
+				}
+
+				timer = this._clock.setTimer(isUrgent ? minRenewIntervalMs : renewIntervalMs - renewHoldMs, renew);
+			});
+		};
+
+		crashes.onUrgent(() => {
+			isUrgent = true;
+			if (!isInFlight) {
+				renew();
+			}
+		});
+		timer = this._clock.setTimer(this._random.next() * renewIntervalMs, renew);
+		return known;
+	}
+
 	private _outcome(): CrashOutcome {
 		const {crashing = []} = this._load;
 		const fifthAt = crashing.map(({part}) => this._crashedAt.get(part)?.[crashesBeforeLimit - 1] ?? Infinity);
--- a/src/testing/forwarder-fixture.ts
+++ b/src/testing/forwarder-fixture.ts
@@ -4,6 +4,7 @@
 import {SeededRandom} from '../common/base/seeded-random.js';
 import {type BackendServer} from '../common/control/backend-server.js';
 import {RetryBudget} from '../common/entry/retry-budget.js';
+import {type CrashObserver} from '../common/forwarding/crash-observer.js';
 import {type ForwardServices} from '../common/forwarding/forward-services.js';
 import {type ForwardRequest} from '../common/forwarding/forward-request.js';
 import {Forwarder} from '../common/forwarding/forwarder.js';
@@ -24,6 +25,10 @@
 	recordSent: () => undefined, recordAnswer: () => undefined, recordBroken: () => undefined, recordHeadTime: () => undefined, recordPace: () => undefined,
 };
 
+const nullCrashes: CrashObserver = {
+	recordBroken: () => undefined, recordComplete: () => undefined, recordRefused: () => undefined, isSound: () => true,
+};
+
 /** Creates a backend server of service `s`. */
 export function testBackend(id: string, changes: Partial<BackendServer> = {}): BackendServer {
 	return {
@@ -54,12 +59,12 @@
 }
 
 /** Parts of a forwarder that a test sets; the others do nothing. */
-export type TestForwarderOptions = Pick<ForwardServices, 'clock' | 'lease' | 'pool' | 'port' | 'budget' | 'state'> & Partial<Pick<ForwardServices, 'observer'>> & {readonly random: RandomSource};
+export type TestForwarderOptions = Pick<ForwardServices, 'clock' | 'lease' | 'pool' | 'port' | 'budget' | 'state'> & Partial<Pick<ForwardServices, 'observer' | 'crashes'>> & {readonly random: RandomSource};
 
 /** Creates a forwarder without logs, counters and sticky sessions. */
-export function createTestForwarder({random, observer = nullObserver, ...options}: TestForwarderOptions): Forwarder {
+export function createTestForwarder({random, observer = nullObserver, crashes = nullCrashes, ...options}: TestForwarderOptions): Forwarder {
 	return new Forwarder({
-		...options, observer, zone: 'z', logger: nullLogger, counters: nullCounters, placement: new AffinityPlacement(random), speeds: new ModelSpeeds(), models: new LoadAwareCascade(60, 1), sessions: {recordRequest: () => undefined, isSticky: () => false}, random: () => random.next(),
+		...options, observer, crashes, zone: 'z', logger: nullLogger, counters: nullCounters, placement: new AffinityPlacement(random), speeds: new ModelSpeeds(), models: new LoadAwareCascade(60, 1), sessions: {recordRequest: () => undefined, isSticky: () => false}, random: () => random.next(),
 	});
 }
 
@@ -78,7 +83,7 @@
 	const budget = new RetryBudget(0.5, 5);
 	const forwarder = createTestForwarder({
 		clock, lease, random, pool, port, budget: () => budget, state: () => ({
-			table, rollouts: new Map(), hostCount: 1, hostIndex: 0,
+			table, rollouts: new Map(), quarantinedParts: new Map(), hostCount: 1, hostIndex: 0,
 		}),
 	});
 	const send = (req: Partial<ForwardRequest> = {}) => {
