--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -15,13 +15,11 @@
 		plugin.onResolve({filter: /\/locales\/index\.js$/}, args => args.importer.includes('/zod/') ? {path: 'locales', namespace: 'subset'} : undefined);
 		plugin.onLoad({filter: /^undici$/, namespace: 'subset'}, () => ({
 			contents: `
-				import Dispatcher from 'undici/lib/dispatcher/dispatcher.js';
 				import buildConnector from 'undici/lib/core/connect.js';
-				import request from 'undici/lib/api/api-request.js';
+				import errors from 'undici/lib/core/errors.js';
 				export {default as Agent} from 'undici/lib/dispatcher/agent.js';
 				export {default as Pool} from 'undici/lib/dispatcher/pool.js';
-				export {buildConnector};
-				Dispatcher.prototype.request = request;`,
+				export {buildConnector, errors};`,
 			resolveDir: process.cwd(),
 		}));
 		plugin.onLoad({filter: /^locales$/, namespace: 'subset'}, () => ({contents: 'export {};'}));
