Judge slow first answers of plain services without an allowance for caches

Cause: a quarter of slow heads was assumed for any previous release, because new servers of models have empty caches. 7 slow heads of 25 then count as evidence for the release. Plain services have no prompts.

Ruled out: the schedule (25 answers in the trial are what the exposure limit leaves in 14.6 s at 15 requests a second), lost evidence (the log of the leader shows all 25 answers).

Change: the allowance holds for answers to prompts only.

release-judge.test.ts: 2 of the 4 new cases failed before, pass now.

--- a/src/common/release/release-comparison.ts
+++ b/src/common/release/release-comparison.ts
@@ -13,6 +13,8 @@
 export interface Comparison {
 	readonly target: Sample;
 	readonly base: Sample;
+	/** Whether some of the answers are to prompts, which servers process faster when they have cached them. */
+	readonly hasPrompts: boolean;
 }
 
 /** Aspects in which the answers of two releases are compared. */
@@ -29,6 +31,7 @@
 /** Counts of one route and model at both releases. */
 export interface Stratum {
 	readonly route: string;
+	readonly hasPrompts: boolean;
 	readonly target: Outcomes;
 	readonly base: Outcomes;
 }
@@ -61,22 +64,22 @@
 }
 
 /** Returns the samples of a route and model in one aspect. */
-export function comparisonOf({target, base}: Stratum, one: Aspect): Comparison {
+export function comparisonOf({target, base, hasPrompts}: Stratum, one: Aspect): Comparison {
 	switch (one) {
 		case aspect.failures: {
-			return {target: {count: target.answers, bad: target.failures}, base: {count: base.answers, bad: base.failures}};
+			return {target: {count: target.answers, bad: target.failures}, base: {count: base.answers, bad: base.failures}, hasPrompts};
 		}
 
 		case aspect.broken: {
-			return {target: {count: target.answers, bad: target.broken}, base: {count: base.answers, bad: base.broken}};
+			return {target: {count: target.answers, bad: target.broken}, base: {count: base.answers, bad: base.broken}, hasPrompts};
 		}
 
 		case aspect.head: {
-			return slowComparison(target.headMs, base.headMs);
+			return {...slowSamples(target.headMs, base.headMs), hasPrompts};
 		}
 
 		case aspect.pace: {
-			return slowComparison(target.paceUs, base.paceUs);
+			return {...slowSamples(target.paceUs, base.paceUs), hasPrompts};
 		}
 	}
 }
@@ -86,14 +89,15 @@
 	return {
 		target: {count: left.target.count + right.target.count, bad: left.target.bad + right.target.bad},
 		base: {count: left.base.count + right.base.count, bad: left.base.bad + right.base.bad},
+		hasPrompts: left.hasPrompts || right.hasPrompts,
 	};
 }
 
 /** Samples without answers. */
-export const noComparison: Comparison = {target: {count: 0, bad: 0}, base: {count: 0, bad: 0}};
+export const noComparison: Comparison = {target: {count: 0, bad: 0}, base: {count: 0, bad: 0}, hasPrompts: false};
 
 /** Counts the slow answers of both releases. Without enough values of the previous release nothing is compared. */
-function slowComparison(target: ValueHistogram, base: ValueHistogram): Comparison {
+function slowSamples(target: ValueHistogram, base: ValueHistogram): Pick<Comparison, 'target' | 'base'> {
 	const count = sizeOf(base);
 	if (count < minBaseValues) {
 		return noComparison;
--- a/src/common/release/release-evidence.ts
+++ b/src/common/release/release-evidence.ts
@@ -8,7 +8,7 @@
 	readonly service: string;
 	readonly release: string;
 	readonly route: string;
-	/** Undefined for requests to plain services and when the caller chose the model. */
+	/** Undefined for requests to plain services. */
 	readonly model?: string;
 	/** Attempts that were sent. */
 	readonly sent: number;
--- a/src/common/release/release-judge.test.ts
+++ b/src/common/release/release-judge.test.ts
@@ -149,3 +149,32 @@
 	expect(judgeWith(loaded, histogram([[400, 6], [3000, 2]]))).not.toBe(releaseVerdict.bad);
 	expect(judgeWith(loaded, histogram([[400, 6], [3000, 9]]))).toBe(releaseVerdict.bad);
 });
+
+// Guards against completing a slow release of a plain service: only prompts, which new servers have not cached yet, may make its first answers slow.
+it.each([
+	{
+		name: 'a plain service', model: undefined, slow: 7, verdict: releaseVerdict.undecided,
+	},
+	{
+		name: 'a plain service', model: undefined, slow: 14, verdict: releaseVerdict.bad,
+	},
+	{
+		name: 'a plain service', model: undefined, slow: 2, verdict: releaseVerdict.good,
+	},
+	{
+		name: 'a model', model: 'm', slow: 7, verdict: releaseVerdict.good,
+	},
+])('judges a release of $name with $slow slow heads of 25 as $verdict', ({model, slow, verdict}) => {
+	const row = (release: string, count: number, slowCount: number): ReleaseCounts => {
+		const headMs: number[] = [];
+		for (let index = 0; index < count; index++) {
+			addValue(headMs, index < slowCount ? 20 * slowBodyFactor : 20);
+		}
+
+		return {
+			rollout: 1, service: 's', release, route: 'r', model, sent: count, answers: count, failures: 0, broken: 0, headMs, paceUs: [],
+		};
+	};
+
+	expect(new ReleaseJudge('new').judge([row('old', 150, 6), row('new', 25, slow)]).verdict).toBe(verdict);
+});
--- a/src/common/release/release-judge.ts
+++ b/src/common/release/release-judge.ts
@@ -31,10 +31,11 @@
 	failures: 0.02,
 	// A single server that crashes breaks one answer at each host.
 	broken: 0.2,
-	// The new release starts with empty caches, so many of its prompts are processed whole.
-	head: 0.25,
+	head: 0.08,
 	pace: 0.08,
 };
+/** The same for heads of answers to prompts: the new release starts with empty caches, so many of its prompts are processed whole. */
+const minPromptHeadShare = 0.25;
 /** Maximum share that is assumed for the previous release. */
 const maxBaseShare = 0.6;
 /** Increase of the share of bad answers that makes a release bad. */
@@ -132,12 +133,12 @@
 	}
 
 	/** Returns what the answers since the last judgement say; above zero against the release. */
-	private _latestEvidence(route: string, one: Aspect, {target, base}: Comparison): number {
+	private _latestEvidence(route: string, one: Aspect, {target, base, hasPrompts}: Comparison): number {
 		const key = `${route}/${one}`;
 		const last = this._samples.get(key) ?? noComparison.target;
 		this._samples.set(key, target);
 		// The bound of slow answers moves with the previous release. Earlier answers that are no longer slow count back.
-		return ratioOf({target: {count: target.count - last.count, bad: target.bad - last.bad}, base}, one);
+		return ratioOf({target: {count: target.count - last.count, bad: target.bad - last.bad}, base, hasPrompts}, one);
 	}
 
 	private _strata(rows: Iterable<ReleaseCounts>): Stratum[] {
@@ -147,7 +148,9 @@
 			const {route, model, release} = row;
 			const isTarget = release === this._target;
 			const key = JSON.stringify([route, model]);
-			const stratum = strata.get(key) ?? {route, target: noOutcomes, base: noOutcomes};
+			const stratum = strata.get(key) ?? {
+				route, hasPrompts: model !== undefined, target: noOutcomes, base: noOutcomes,
+			};
 			strata.set(key, isTarget ? {...stratum, target: addOutcomes(stratum.target, row)} : {...stratum, base: addOutcomes(stratum.base, row)});
 		}
 
@@ -191,8 +194,9 @@
 }
 
 /** Logarithm of the likelihood ratio of a bad release to one like the previous one. */
-function ratioOf({target, base}: Comparison, one: Aspect): number {
-	const baseShare = Math.min(maxBaseShare, Math.max(minBaseShare[one], (base.bad + 0.5) / (base.count + 1)));
+function ratioOf({target, base, hasPrompts}: Comparison, one: Aspect): number {
+	const minShare = hasPrompts && one === aspect.head ? minPromptHeadShare : minBaseShare[one];
+	const baseShare = Math.min(maxBaseShare, Math.max(minShare, (base.bad + 0.5) / (base.count + 1)));
 	return logLikelihoodRatio(target.bad, target.count - target.bad, Math.min(0.95, baseShare + badShareIncrease), baseShare);
 }
 
