Send daemons only the configuration in place, not the ones it replaced

Suspected for CONFIG at scale: each renewal reply held every configuration since the daemon's last one. With 1,400 routes a configuration has several hundred KB, a link of 7 Mbit/s carries about 850 KB within the 1 s of a renewal, so changes in quick succession could keep a daemon from ever catching up.

Change: entries with a configuration that is not in place are sent empty. A daemon applies all entries of a reply before it uses the state, so its state is the same.

--- a/src/common/control/control-catch-up.ts
+++ b/src/common/control/control-catch-up.ts
@@ -31,7 +31,7 @@
 
 		const entries = target - applied <= maxEntries ? this._log.entriesAfter(applied, maxEntries) : undefined;
 		if (entries) {
-			return {entries, lastIndex: entries.at(-1)?.index ?? applied};
+			return {entries: entries.map(entry => this._withoutReplacedRouting(entry)), lastIndex: entries.at(-1)?.index ?? applied};
 		}
 
 		// Daemons that restart at the same time share one snapshot.
@@ -41,4 +41,12 @@
 
 		return {entries: [], snapshot: this._snapshot, lastIndex: target};
 	}
+
+	/**
+	Empties an entry with a routing configuration that is not in place: a daemon applies all entries of a reply before it uses
+	the state, and several large configurations take too long on a slow link.
+	*/
+	private _withoutReplacedRouting(entry: AppliedEntry<ControlCommand>): AppliedEntry<ControlCommand> {
+		return entry.command?.type === 'apply-routing' && entry.index !== this._state.routing?.revision ? {...entry, command: undefined} : entry;
+	}
 }
