--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -295,7 +295,8 @@
 		}
 
 		this.model.recordEnd(attempt);
-		if (isSuccess(attempt.head!)) {
+		// The end of an answer without framing may be the end of its server.
+		if (isSuccess(attempt.head!) && !attempt.head!.isUnframed) {
 			this._services.crashes.recordComplete(this._parts);
 		}
 
