--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -7,14 +7,14 @@
 import {attemptTerms} from './attempt-terms.js';
 import {chooseServer, limitShare, pauseOfAllMs} from './choose-server.js';
 import {type EscalatingRequest, Escalation} from './escalation.js';
-import {type AnswerHead, type PromptPart} from './forward-request.js';
+import {type AnswerHead} from './forward-request.js';
 import {type ForwardServices} from './forward-services.js';
 import {type AdmittedRequest} from './forwarder.js';
 import {
 	mayHaveRunRefusal, notRunRefusal, pausedRefusal, quarantinedReason, quarantinedRefusal, timeoutReason,
 } from './router-refusals.js';
 import {guardedEvents} from './guarded-events.js';
-import {quarantinedPart} from './quarantined-part.js';
+import {PromptGuard} from './prompt-guard.js';
 import {headVerdict, isSuccess, judgeHead} from './head-verdict.js';
 import {RequestModel} from './request-model.js';
 import {RequestAttempts} from './request-attempts.js';
@@ -23,9 +23,6 @@
 import {type ServerRecord} from './server-pool.js';
 import {reportRequest} from './request-report.js';
 
-/** Number of broken connections after which a request is not sent again, unless its prompt is known to be sound. */
-const maxUnexplainedBreaks = 2;
-
 /** Forwards one request from its admission to its final answer: attempts, retries, escalation, resumption and timeout. */
 export class ForwardRun implements EscalatingRequest {
 	readonly startedAt: number;
@@ -34,11 +31,10 @@
 	private readonly _escalation: Escalation;
 	private readonly _delivery: AnswerDelivery;
 	private readonly _attempts: RequestAttempts;
+	private readonly _prompt: PromptGuard;
 	/** Description of each attempt, for the log. */
 	private readonly _trail: string[] = [];
 	private _mayHaveRun = false;
-	/** Number of attempts under which a connection broke. */
-	private _brokenAttempts = 0;
 	private _current: Attempt | undefined;
 	private _timer: Disposable | undefined;
 	private _isFinished = false;
@@ -53,6 +49,7 @@
 		this.startedAt = arrivedAt;
 		this.deadlineAt = this.startedAt + Math.min(req.deadlineMs ?? Infinity, route.timeoutMs);
 		this._attempts = new RequestAttempts(_services, _admitted, this.deadlineAt);
+		this._prompt = new PromptGuard(_services, _admitted);
 		this._delivery = new AnswerDelivery(_services.clock, _sink, route, req.resumeAfter, this._attempts.isRepeatable
 			? () => {
 				this._onStall();
@@ -66,15 +63,6 @@
 		return this.deadlineAt - this._services.clock.now();
 	}
 
-	private get _parts(): readonly PromptPart[] {
-		return this._admitted.req.generation?.parts ?? [];
-	}
-
-	/** Whether the request may be the cause of broken connections, because it has met several and parts of its prompt are not known to be sound. */
-	private get _mayEndServers(): boolean {
-		return this._brokenAttempts >= maxUnexplainedBreaks && !this._services.crashes.isSound(this._parts);
-	}
-
 	start(): void {
 		const {clock, budget} = this._services;
 		budget(this._admitted.service).recordRequest();
@@ -137,9 +125,7 @@
 
 	/** Sends the request to the best backend server, except the given ones. */
 	private _sendToBest(excluded: ReadonlySet<string>): void {
-		const part = quarantinedPart(this._services.state(), this._admitted.req);
-		if (part !== undefined) {
-			this._services.crashes.recordRefused(part);
+		if (this._prompt.refuse()) {
 			this._endWithoutAnswer(quarantinedReason);
 			return;
 		}
@@ -180,7 +166,7 @@
 	/** Returns the handlers for the events of an attempt; they ignore events after the attempt or the request has finished. */
 	private _eventsOf(attempt: Attempt): AttemptEvents {
 		return guardedEvents(() => !attempt.isFinished && !this._isFinished, {
-			mayStart: () => this._services.lease.isValid() && attempt.record.accepts(this._services.clock.now()) && quarantinedPart(this._services.state(), this._admitted.req) === undefined,
+			mayStart: () => this._services.lease.isValid() && attempt.record.accepts(this._services.clock.now()) && !this._prompt.isQuarantined,
 			onHead: head => {
 				this._onHead(attempt, head);
 			},
@@ -289,17 +275,13 @@
 
 		const problem = this._delivery.problemOf(attempt);
 		if (problem) {
-			this._recordBroken(attempt);
+			this._prompt.recordBroken(attempt);
 			this._fail(attempt, problem);
 			return;
 		}
 
 		this.model.recordEnd(attempt);
-		// The end of an answer without framing may be the end of its server.
-		if (isSuccess(attempt.head!) && !attempt.head!.isUnframed) {
-			this._services.crashes.recordComplete(this._parts);
-		}
-
+		this._prompt.recordComplete(attempt);
 		this._trail.push(attempt.describe(String(attempt.head!.status)));
 		attempt.finish();
 		this._finish(this._delivery.end(attempt) ? 'answered' : 'unframed-end');
@@ -307,7 +289,7 @@
 
 	private _onFailure(attempt: Attempt, {isUnsent, reason}: AttemptFailure): void {
 		if (!isUnsent) {
-			this._recordBroken(attempt);
+			this._prompt.recordBroken(attempt);
 			this._fail(attempt, reason);
 			return;
 		}
@@ -325,11 +307,6 @@
 		}
 	}
 
-	private _recordBroken(attempt: Attempt): void {
-		this._brokenAttempts++;
-		this._services.crashes.recordBroken(attempt.record, this._parts);
-	}
-
 	/** Handles an answer which states that the backend server did not run the request. */
 	private _onRefused(attempt: Attempt, {isOtherServer}: AnswerHead): void {
 		const now = this._services.clock.now();
@@ -372,7 +349,7 @@
 			return;
 		}
 
-		if (!this._mayEndServers && this.takeRetry()) {
+		if (this._prompt.mayRetry && this.takeRetry()) {
 			this._attempt();
 		} else {
 			this._endWithoutAnswer(reason);
@@ -440,7 +417,7 @@
 		this._timer?.dispose();
 		this._delivery.dispose();
 		reportRequest(this._services, this._admitted, {
-			startedAt: this.startedAt, attempts: this._attempts.count, trail: this._trail, outcome, isBroken: this._brokenAttempts > 0,
+			startedAt: this.startedAt, attempts: this._attempts.count, trail: this._trail, outcome, isBroken: this._prompt.hasBroken,
 		});
 		this._onFinished();
 	}
--- a/src/testing/forwarder-fixture.ts
+++ b/src/testing/forwarder-fixture.ts
@@ -81,9 +81,11 @@
 	const lease = {expiresAt: 100_000, isValid: () => lease.expiresAt > clock.now()};
 	const table = testTable([route], [{name: 'shop', keys: ['key'], priority: 1}]);
 	const budget = new RetryBudget(0.5, 5);
+	const quarantinedParts = new Set<string>();
+	const crashes: CrashObserver = {...nullCrashes};
 	const forwarder = createTestForwarder({
-		clock, lease, random, pool, port, budget: () => budget, state: () => ({
-			table, rollouts: new Map(), quarantinedParts: new Map(), hostCount: 1, hostIndex: 0,
+		clock, lease, random, pool, port, crashes, budget: () => budget, state: () => ({
+			table, rollouts: new Map(), quarantinedParts, hostCount: 1, hostIndex: 0,
 		}),
 	});
 	const send = (req: Partial<ForwardRequest> = {}) => {
@@ -97,6 +99,6 @@
 	};
 
 	return {
-		clock, pool, port, lease, forwarder, send, budget,
+		clock, pool, port, lease, forwarder, send, budget, quarantinedParts, crashes,
 	};
 }
