--- a/src/node/connect-timeout.test.ts
+++ b/src/node/connect-timeout.test.ts
@@ -51,10 +51,8 @@
 
 // Guards against an attempt at a backend server without power that fails only after up to twice the connect timeout, too late for another server.
 it.each([100, 300])('ends a connection that does not open after %i ms', async timeoutMs => {
-	const startedAt = performance.now();
 	const agent = new Agent({connect: timedConnector(timeoutMs)});
-	const outcome = await outcomeOf(agent.request({origin: `http://${listener.address}`, path: '/', method: 'GET'}));
+	const outcome = await Promise.race([outcomeOf(agent.request({origin: `http://${listener.address}`, path: '/', method: 'GET'})), late()]);
 	await agent.destroy();
 	expect(outcome).toMatchObject({code: 'UND_ERR_CONNECT_TIMEOUT'});
-	expect(performance.now() - startedAt).toBeLessThan(lateMs);
 });
