Test early renewals, and end the wait for one without a combined signal

A combined signal for each renewal would hang on the signal of the whole process, one a second. The tests fail without the early renewal (checked).

--- a/src/common/control/control-follower.ts
+++ b/src/common/control/control-follower.ts
@@ -67,6 +67,9 @@
 		this._sections = new FollowerSections(logger, () => {
 			this._hasten();
 		});
+		this._stop.signal.addEventListener('abort', () => {
+			this._wait.abort();
+		});
 		this._incarnation = entry.incarnation;
 		this.leaderClient = new LeaderClient(transport, voters, clock, random);
 		this._replica = new ControlReplica(clock);
@@ -186,10 +189,12 @@
 				logger.error({err: error}, 'renewal listener failed');
 			}
 
-			const earliestAt = sentAt + minRenewIntervalMs;
-			this._wait = new AbortController();
-			// eslint-disable-next-line no-await-in-loop -- waits for the next renewal
-			await sleep(clock, Math.max(0, (this._isUrgent ? earliestAt : nextAt) - clock.now()), AbortSignal.any([signal, this._wait.signal]));
+			if (!signal.aborted) {
+				this._wait = new AbortController();
+				const dueAt = this._isUrgent ? sentAt + minRenewIntervalMs : nextAt;
+				// eslint-disable-next-line no-await-in-loop -- waits for the next renewal
+				await sleep(clock, Math.max(0, dueAt - clock.now()), this._wait.signal);
+			}
 		}
 	}
 
--- a/src/common/control/renewal-section.test.ts
+++ b/src/common/control/renewal-section.test.ts
@@ -1,7 +1,9 @@
 import {expect, it} from 'vitest';
 import {ControlCluster, testDocument} from '../../testing/control-cluster.js';
+import {Emitter} from '../base/emitter.js';
 import {type FollowerSection} from './follower-section.js';
 import {type LeaderSection} from './leader-section.js';
+import {minRenewIntervalMs, renewHoldMs} from './control-times.js';
 import {renewalSection} from './renewal-section.js';
 
 const demandSection = renewalSection<{demand: number}, {budget: number}>('demand');
@@ -11,14 +13,21 @@
 	readonly budgets: number[] = [];
 	readonly terms = new Set<number>();
 	isFailing = false;
+	collected = 0;
+	readonly urgent = new Emitter<void>();
 
 	constructor(private readonly _demand: number) {}
 
+	get onUrgent() {
+		return this.urgent.event;
+	}
+
 	collect(term: number): {demand: number} {
 		if (this.isFailing) {
 			throw new Error('collect failed');
 		}
 
+		this.collected++;
 		this.terms.add(term);
 		return {demand: this._demand};
 	}
@@ -116,3 +125,29 @@
 	await cluster.clock.advance(800);
 	expect(follower.applied).toBe(cluster.daemon('v1').log!.commitIndex);
 });
+
+// Guards against urgent reports that wait for the interval of the renewals.
+it('renews early for an urgent report', async () => {
+	const {cluster, reporter} = await startWithSections();
+	for (let phase = 0; phase < 10; phase++) {
+		/* eslint-disable no-await-in-loop -- reports at different times after a renewal */
+		await cluster.clock.advance(3000 + (phase * 97));
+		const before = reporter.collected;
+		reporter.urgent.fire();
+		await cluster.clock.advance(renewHoldMs + minRenewIntervalMs + 10);
+		/* eslint-enable no-await-in-loop */
+		expect(reporter.collected).toBeGreaterThan(before);
+	}
+});
+
+// Guards against a busy loop while urgent reports keep coming.
+it('limits the renewals for urgent reports', async () => {
+	const {cluster, reporter} = await startWithSections();
+	const before = reporter.collected;
+	for (let report = 0; report < 100; report++) {
+		reporter.urgent.fire();
+		await cluster.clock.advance(10); // eslint-disable-line no-await-in-loop -- the reports follow each other
+	}
+
+	expect(reporter.collected - before).toBeLessThanOrEqual((1000 / minRenewIntervalMs) + 1);
+});
