--- a/src/common/control/control-state.ts
+++ b/src/common/control/control-state.ts
@@ -2,15 +2,15 @@
 import {type VersionRef} from '../documents/version-ref.js';
 import {type RolloutState} from '../rollout/rollout-state.js';
 import {type BackendServer} from './backend-server.js';
-import {BurnSumTable, type BurnSumSnapshot} from './burn-sum-table.js';
+import {BurnSumTable} from './burn-sum-table.js';
 import {ChangeHistory} from './change-history.js';
-import {type ChangeRecord} from './change-record.js';
 import {
 	type ControlCommand, type Quarantine, type RemoveDocument, type SubmitDocument, type WithdrawVersion,
 } from './control-command.js';
 import {type ControlResult} from './control-result.js';
+import {type ControlStateSnapshot} from './control-state-snapshot.js';
 import {type ControlView} from './control-view.js';
-import {DirectoryState, type DirectorySnapshot} from './directory-state.js';
+import {DirectoryState} from './directory-state.js';
 import {type DocumentRecord} from './document-record.js';
 import {type EntryHost} from './entry-host.js';
 import {type QuarantineRecord} from './quarantine-record.js';
@@ -21,23 +21,6 @@
 import {ServiceRolloutTable} from './service-rollout-table.js';
 import {type ServiceRollout} from './service-rollout.js';
 
-type Snapshot = {
-	revision: number;
-	fencing: number;
-	documents: Array<[string, DocumentRecord]>;
-	removed: Array<[string, readonly VersionRef[]]>;
-	directory: DirectorySnapshot;
-	quarantines: Array<[string, QuarantineRecord]>;
-	lifted: Array<[string, number]>;
-	rollouts: Array<[string, RolloutState]>;
-	changes: Array<[string, ChangeRecord]>;
-	/** This field and the following ones are absent in snapshots of earlier software versions. */
-	burn?: BurnSumSnapshot;
-	routing?: RoutingRecord;
-	serviceRollouts?: Array<[string, ServiceRollout]>;
-	quarantinedParts?: Array<[string, number]>;
-};
-
 /** State machine of the control log: documents, directory, quarantines, roll-outs and the fencing number. */
 export class ControlState implements StateMachine<ControlCommand, ControlResult>, ControlView {
 	/** Hourly sums of all requests and of bad ones. */
@@ -187,7 +170,7 @@
 	}
 
 	snapshot(): unknown {
-		const snapshot: Snapshot = {
+		const snapshot: ControlStateSnapshot = {
 			revision: this._revision,
 			fencing: this._fencing,
 			documents: [...this._documents],
@@ -207,7 +190,7 @@
 	}
 
 	restore(snapshot: unknown): void {
-		const data = snapshot as Snapshot;
+		const data = snapshot as ControlStateSnapshot;
 		this._revision = data.revision;
 		this._fencing = data.fencing;
 		this._documents.clear();
--- a/src/testing/crash-simulation.ts
+++ b/src/testing/crash-simulation.ts
@@ -15,12 +15,13 @@
 import {CrashRecorder} from '../common/prompts/crash-recorder.js';
 import {PartQuarantineSupervisor} from '../common/prompts/part-quarantine-supervisor.js';
 import {
-	createTestForwarder, testBackend, testRoute, testTable,
+	createTestForwarder, testRoute, testTable,
 } from './forwarder-fixture.js';
+import {CrashingServers} from './crashing-servers.js';
 import {LocalLog} from './local-log.js';
 import {ManualClock} from './manual-clock.js';
 import {RecordingSink} from './recording-sink.js';
-import {answerHead, type ScriptedAttempt, ScriptedPort} from './scripted-port.js';
+import {ScriptedPort} from './scripted-port.js';
 
 /** Requests with a part that ends each server which begins an answer on it. */
 export interface CrashingRequests {
@@ -64,19 +65,6 @@
 export const contactMs = 3000;
 const crashesBeforeLimit = 5;
 const durationMs = 30_000;
-const prefillMs = 60;
-const eventIntervalMs = 100;
-const events = 4;
-const restartMs = 3000;
-const directoryDelayMs = 100;
-const encoder = new TextEncoder();
-
-/** A process of a simulated server. */
-class SimulatedServer {
-	isUp = true;
-	readonly running = new Set<ScriptedAttempt>();
-	constructor(readonly server: BackendServer) {}
-}
 
 /** Plays a load with the forwarders of all hosts against servers that end when they begin an answer on a crashing part. */
 export async function playCrashingLoad(load: CrashingLoad): Promise<CrashOutcome> {
@@ -86,23 +74,26 @@
 class CrashSimulation {
 	private readonly _clock = new ManualClock();
 	private readonly _random: SeededRandom;
-	private readonly _servers = new Map<string, SimulatedServer>();
+	private readonly _servers: CrashingServers;
 	private readonly _pools: ServerPool[] = [];
 	private readonly _forwarders: Forwarder[] = [];
 	private readonly _state = new ControlState();
 	private readonly _supervisor: PartQuarantineSupervisor;
-	private readonly _crashedAt = new Map<string, number[]>();
-	private readonly _sentAt = new Map<string, number[]>();
 	private readonly _sound: Array<{readonly at: number; readonly sink: RecordingSink}> = [];
 	private _requests = 0;
 
 	constructor(private readonly _load: CrashingLoad) {
 		this._random = new SeededRandom(_load.seed);
-		for (let index = 0; index < _load.servers; index++) {
-			const server = testBackend(`s${index}`, {address: `10.0.1.${index}:1`, capacity: 64});
-			this._servers.set(server.address, new SimulatedServer(server));
-		}
-
+		this._servers = new CrashingServers({
+			clock: this._clock,
+			random: this._random.fork('servers'),
+			count: _load.servers,
+			crashingParts: new Set(_load.crashing?.map(({part}) => part)),
+			brokenConnections: _load.brokenConnections ?? 0,
+			onServers: servers => {
+				this._publish(servers);
+			},
+		});
 		const table = testTable([testRoute({
 			repetition: repetition.stream, isResumable: true, timeoutMs: 5000, targetLatencyMs: 1500, targetPauseMs: 800, hasPromptParts: true,
 		})], undefined, 300 * _load.hosts);
@@ -113,10 +104,10 @@
 			const pool = new ServerPool();
 			const budget = new RetryBudget(0.5, 4);
 			const port = new ScriptedPort(attempt => {
-				this._receive(attempt);
+				this._servers.receive(attempt, attempt.message.headers[1]!);
 			});
 			const crashes = new CrashRecorder({
-				clock: this._clock, port: {refusesConnections: async address => !this._servers.get(address)!.isUp}, logger: nullLogger, counters: nullCounters,
+				clock: this._clock, port: {refusesConnections: async address => this._servers.refuses(address)}, logger: nullLogger, counters: nullCounters,
 			});
 			const known = this._renewRegularly(`host ${host}`, crashes);
 			this._pools.push(pool);
@@ -134,7 +125,7 @@
 			}));
 		}
 
-		this._publishServers();
+		this._publish(this._servers.servers);
 	}
 
 	async play(): Promise<CrashOutcome> {
@@ -151,9 +142,7 @@
 
 		for (const {at, share} of losses) {
 			this._clock.setTimer(at, () => {
-				for (const simulated of [...this._servers.values()].slice(0, Math.ceil(share * this._servers.size))) {
-					this._end(simulated);
-				}
+				this._servers.endShare(share);
 			});
 		}
 
@@ -200,9 +189,9 @@
 
 	private _outcome(): CrashOutcome {
 		const {crashing = []} = this._load;
-		const fifthAt = crashing.map(({part}) => this._crashedAt.get(part)?.[crashesBeforeLimit - 1] ?? Infinity);
-		const lateSends = new Map(crashing.map(({part}, index) => [part, (this._sentAt.get(part) ?? []).filter(at => at > fifthAt[index]! + contactMs).length]));
-		const firstAt = Math.min(...crashing.map(({part}) => this._crashedAt.get(part)?.[0] ?? Infinity));
+		const fifthAt = crashing.map(({part}) => this._servers.crashedAt.get(part)?.[crashesBeforeLimit - 1] ?? Infinity);
+		const lateSends = new Map(crashing.map(({part}, index) => [part, (this._servers.reachedAt.get(part) ?? []).filter(at => at > fifthAt[index]! + contactMs).length]));
+		const firstAt = Math.min(...crashing.map(({part}) => this._servers.crashedAt.get(part)?.[0] ?? Infinity));
 		const settledAt = Math.max(0, ...fifthAt.filter(at => at < Infinity)) + (2 * contactMs);
 		const answered = (from: number, until: number) => {
 			const due = this._sound.filter(({at}) => at >= from && at < until);
@@ -210,7 +199,7 @@
 		};
 
 		return {
-			crashes: new Map(crashing.map(({part}) => [part, this._crashedAt.get(part)?.length ?? 0])),
+			crashes: new Map(crashing.map(({part}) => [part, this._servers.crashedAt.get(part)?.length ?? 0])),
 			lateSends,
 			soundBefore: answered(0, Math.min(firstAt, durationMs) - 1000),
 			soundAfter: answered(settledAt, durationMs - 1000),
@@ -245,105 +234,9 @@
 		}, sink);
 	}
 
-	private _receive(attempt: ScriptedAttempt): void {
-		const simulated = this._servers.get(attempt.terms.address)!;
-		this._clock.setTimer(1, () => {
-			if (attempt.isAborted) {
-				return;
-			}
-
-			if (!simulated.isUp || simulated.server.id !== attempt.terms.serverId) {
-				attempt.events.onFailure({isUnsent: true, reason: 'ECONNREFUSED'});
-				return;
-			}
-
-			const part = attempt.message.headers[1]!;
-			record(this._sentAt, part, this._clock.now());
-			simulated.running.add(attempt);
-			this._clock.setTimer(prefillMs, () => {
-				this._begin(simulated, attempt, part);
-			});
-		});
-	}
-
-	private _begin(simulated: SimulatedServer, attempt: ScriptedAttempt, part: string): void {
-		if (!simulated.running.has(attempt) || attempt.isAborted) {
-			simulated.running.delete(attempt);
-			return;
-		}
-
-		attempt.events.onHead(answerHead());
-		if (this._load.crashing?.some(crashing => crashing.part === part)) {
-			record(this._crashedAt, part, this._clock.now());
-			this._end(simulated);
-			return;
-		}
-
-		this._sendEvent(simulated, attempt, 1);
-	}
-
-	private _sendEvent(simulated: SimulatedServer, attempt: ScriptedAttempt, id: number): void {
-		this._clock.setTimer(eventIntervalMs, () => {
-			if (!simulated.running.has(attempt) || attempt.isAborted) {
-				simulated.running.delete(attempt);
-				return;
-			}
-
-			if (this._random.next() < (this._load.brokenConnections ?? 0)) {
-				simulated.running.delete(attempt);
-				attempt.events.onFailure({isUnsent: false, reason: 'UND_ERR_SOCKET'});
-				return;
-			}
-
-			if (id <= (attempt.terms.resumeAfter ?? 0) || attempt.events.onData(encoder.encode(`id: ${id}\ndata: x\n\n`))) {
-				if (id < events) {
-					this._sendEvent(simulated, attempt, id + 1);
-				} else {
-					simulated.running.delete(attempt);
-					attempt.events.onEnd();
-				}
-			}
-		});
-	}
-
-	/** Ends a process with all requests that it runs. A new one starts at its address. */
-	private _end(simulated: SimulatedServer): void {
-		if (!simulated.isUp) {
-			return;
-		}
-
-		simulated.isUp = false;
-		for (const attempt of simulated.running) {
-			this._clock.setTimer(1, () => {
-				if (!attempt.isAborted) {
-					attempt.events.onFailure({isUnsent: false, reason: 'UND_ERR_SOCKET'});
-				}
-			});
-		}
-
-		simulated.running.clear();
-		const {server} = simulated;
-		this._clock.setTimer(restartMs, () => {
-			const successor = {...server, id: `${server.address}-${this._clock.now()}`};
-			this._servers.set(server.address, new SimulatedServer(successor));
-			this._clock.setTimer(directoryDelayMs, () => {
-				this._publishServers();
-			});
-		});
-	}
-
-	private _publishServers(): void {
+	private _publish(servers: readonly BackendServer[]): void {
 		for (const pool of this._pools) {
-			pool.update([...this._servers.values()].map(({server}) => server), this._clock.now());
+			pool.update(servers, this._clock.now());
 		}
 	}
 }
-
-function record(times: Map<string, number[]>, key: string, at: number): void {
-	const known = times.get(key);
-	if (known) {
-		known.push(at);
-	} else {
-		times.set(key, [at]);
-	}
-}
