--- a/src/testing/crash-simulation.ts
+++ b/src/testing/crash-simulation.ts
@@ -98,7 +98,11 @@
 			repetition: repetition.stream, isResumable: true, timeoutMs: 5000, targetLatencyMs: 1500, targetPauseMs: 800, hasPromptParts: true,
 		})], undefined, 300 * _load.hosts);
 		this._supervisor = new PartQuarantineSupervisor({
-			log: new LocalLog<ControlCommand, ControlResult>('leader', this._state), state: this._state, clock: this._clock, logger: nullLogger, leadership: {period: {}} as unknown as ControlLeadership,
+			log: new LocalLog<ControlCommand, ControlResult>('leader', this._state),
+			state: this._state,
+			clock: this._clock,
+			logger: nullLogger,
+			leadership: {period: {}} as unknown as ControlLeadership,
 		});
 		for (let host = 0; host < _load.hosts; host++) {
 			const pool = new ServerPool();
