Report the prompt parts of all requests of a server with many slots

With 32 parts in one report, a host that has most of the requests of a server could leave out the part that ends it. The new case failed before.

--- a/src/common/prompts/crash-recorder.test.ts
+++ b/src/common/prompts/crash-recorder.test.ts
@@ -57,3 +57,16 @@
 	expect(recorder.collect(1)).toBeUndefined();
 	expect(recorder.collect(2)?.crashes).toEqual(first?.crashes);
 });
+
+// Guards against a crashing part that is left out of a report because a server with many slots ran many prompts.
+it('reports the parts of all requests that a server with 64 slots ran', async () => {
+	const {clock, recorder} = create(true);
+	const record = new ServerRecord(testBackend('a'));
+	const parts = Array.from({length: 64}, (_, index) => `doc${index}`);
+	for (const part of parts) {
+		recorder.recordBroken(record, prompt('root', part));
+	}
+
+	await clock.advance(1);
+	expect(recorder.collect(1)?.crashes[0]?.parts.map(([part]) => part)).toEqual(['root', ...parts]);
+});
--- a/src/common/prompts/crash-recorder.ts
+++ b/src/common/prompts/crash-recorder.ts
@@ -37,7 +37,7 @@
 const maxProcesses = 200;
 /** Maximum numbers of items in one report, and of parts of one crash. */
 const maxReported = {
-	crashes: 20, sound: 64, refused: 20, parts: 32,
+	crashes: 20, sound: 64, refused: 20, parts: 128,
 } as const;
 
 /** Records at an entry host which prompts servers ran when they ended, and reports it with the renewals. */
