--- a/src/common/control/quarantined-parts.ts
+++ b/src/common/control/quarantined-parts.ts
@@ -1,3 +1,4 @@
+import {dropOldest} from '../base/drop-oldest.js';
 import {type QuarantinePart} from './control-command.js';
 import {type ControlResult} from './control-result.js';
 
@@ -18,10 +19,7 @@
 			this._parts.delete(part);
 		} else if (!this._parts.has(part)) {
 			this._parts.set(part, index);
-			const [oldest] = this._parts.keys();
-			if (this._parts.size > maxParts) {
-				this._parts.delete(oldest!);
-			}
+			dropOldest(this._parts, maxParts);
 		}
 
 		return {status: 'accepted', revision: index};
--- a/src/common/forwarding/prompt-guard.ts
+++ b/src/common/forwarding/prompt-guard.ts
@@ -2,6 +2,7 @@
 import {type AdmittedRequest} from './forwarder.js';
 import {type PromptPart} from './forward-request.js';
 import {type ForwardServices} from './forward-services.js';
+import {isSuccess} from './head-verdict.js';
 import {quarantinedPart} from './quarantined-part.js';
 
 /** Number of broken connections after which a request is not sent again, unless its prompt is known to be sound. */
@@ -47,7 +48,7 @@
 	/** Records the complete answer of an attempt. */
 	recordComplete({head}: Attempt): void {
 		// The end of an answer without framing may be the end of its server.
-		if (head && head.status < 300 && !head.isUnframed) {
+		if (head && isSuccess(head) && !head.isUnframed) {
 			this._services.crashes.recordComplete(this._parts);
 		}
 	}
