--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -3,92 +3,106 @@
 import {outcome, runCase} from '../stand-ins/case.mjs';
 import {authorization, limits, tenant} from '../stand-ins/fleet.mjs';
 import {Engine} from '../stand-ins/engine.mjs';
-import {newAttemptId, requestText, send} from '../stand-ins/client.mjs';
+import {
+	eventIds, newAttemptId, requestText, send,
+} from '../stand-ins/client.mjs';
+import {answerStream, eventText} from '../stand-ins/stream.mjs';
 
-const hostname = 'desk.example';
-const engineCount = 7;
-const workMs = 60;
-const bookings = 140;
-/** One engine fails this share of its requests, for so many milliseconds. */
-const failingShare = 0.4;
-const failingMs = 6500;
-/** Answers that promise the client that its request has not run. */
-const promises = new Set([408, 421, 429, 503]);
+const hostname = 'chat.example';
+const engineCount = 6;
+const events = 12;
+/** Time in milliseconds between the events of a short and of a long answer of the small model, and of the large one. */
+const eventMs = {short: 40, long: 300, large: 20};
+/** Time in milliseconds until the large model answers, and for a few requests, for which it has to wait for a place. */
+const largeFirstMs = {usual: 100, waiting: 2600};
+/** Half of the engines spoil one in so many of their answers, for so many milliseconds. */
+const spoilInterval = 50;
+const spoilMs = 5500;
+/** The event in whose place a faulty engine sends bytes that are no event. */
+const spoiltEvent = 4;
+const requests = 500;
+const requestIntervalMs = 16;
 
 const configuration = {
 	Version: 1,
 	Routes: [{
-		Name: 'r-book', Hostname: hostname, PathPrefix: '/book/', RouteType: 'non_idempotent', TimeoutMs: 1500, TargetLatencyMs: 300, Priority: 2, Service: 'desk', MaxAttempts: 1, Anonymous: false,
+		Name: 'r-chat', Hostname: hostname, PathPrefix: '/chat/', RouteType: 'streaming', TimeoutMs: 25_000, TargetLatencyMs: 1000, TargetItlMs: 800, Priority: 0,
+		Sizes: ['small', 'large'], Service: 'pool', MaxAttempts: 3, Anonymous: false, Sticky: true, Resumable: true,
 	}],
 	Services: [{
-		Name: 'desk', HealthPath: '/healthz', MaxConns: 110, Protocol: 'h1', Tls: false,
+		Name: 'pool', HealthPath: '/healthz', MaxConns: 370, Protocol: 'h1', Tls: false,
+		Backend: {Slots: 64, KvCapacity: 563_973, BaseModels: [{Name: 'small', Cost: 0.018}, {Name: 'large', Cost: 0.27}]},
 	}],
 	Limits: limits,
 	Tenants: [tenant],
 };
 
-await runCase(import.meta.url, {controls: 3, entries: 2}, async ({fleet, record, hasTrouble, closeLater}) => {
+await runCase(import.meta.url, {controls: 3, entries: 4}, async ({fleet, record, hasTrouble, closeLater}) => {
+	/** Requests for which the large model has to wait. In the run with the disruption, the answer of the small model to these is spoilt. */
+	const chosen = new Set();
 	let startedAt = Infinity;
-	/** Number of runs by booking: an engine has begun to work on it. */
-	const runs = new Map();
 	const engines = Array.from({length: engineCount}, (_, at) => {
 		let answers = 0;
-		const answer = async ({id, body}, res) => {
-			const booking = body.toString('utf8');
-			runs.set(booking, (runs.get(booking) ?? 0) + 1);
-			await sleep(workMs);
-			const isFailing = hasTrouble && at === 0 && performance.now() < startedAt + failingMs && (++answers * failingShare) % 1 < failingShare;
-			if (isFailing) {
-				// The engine has worked on the request, so it does not say `X-Not-Executed`.
-				record.add(`engine ${engine.name}: has run ${id} and fails with 503`);
-				res.writeHead(503, {...engine.headersOf(id), 'content-length': 0}).end();
-				return;
+		let nextSpoilt = spoilInterval;
+		const answer = async (req, res, run) => {
+			const isDoubtful = req.req.url.includes('doubtful');
+			const isFirst = run.model === 'small' && run.after === undefined;
+			const isFaulty = at < engineCount / 2 && performance.now() < startedAt + spoilMs && ++answers >= nextSpoilt && isFirst && isDoubtful;
+			if (isFaulty) {
+				nextSpoilt += spoilInterval;
+				chosen.add(req.id);
 			}
 
-			const text = JSON.stringify({booked: booking});
-			res.writeHead(200, {...engine.headersOf(id), 'content-type': 'application/json', 'content-length': text.length}).end(text);
+			if (run.model === 'large') {
+				await sleep(chosen.has(req.id) ? largeFirstMs.waiting : largeFirstMs.usual);
+			}
+
+			await answerStream(req, res, {
+				headers: {...engine.headersOf(req.id), 'x-confidence': run.model === 'small' && isDoubtful ? '5' : '95'},
+				events,
+				eventMs: run.model === 'large' ? eventMs.large : (req.req.url.endsWith('long') ? eventMs.long : eventMs.short),
+				bytesOf(event) {
+					if (!isFaulty || !hasTrouble || event !== spoiltEvent) {
+						return eventText(event, req.id);
+					}
+
+					record.add(`engine ${engine.name}: sends bytes that are no event in place of event ${event} of ${req.id}`);
+					return '#~%$ bytes that are no answer\n\n';
+				},
+			});
 		};
 
 		const engine = closeLater(new Engine({
-			fleet, name: `desk-${at + 1}`, service: 'desk', slots: 6, answer,
+			fleet, name: `pool-${at + 1}`, service: 'pool', answer,
 		}));
 		return engine;
 	});
-	/** Books; the client retries once, and only after the promise that its request has not run. Returns the attempts that ran in spite of the promise. */
-	const book = async (booking, at) => {
-		const broken = [];
-		for (let attempt = 0; attempt < 2; attempt++) {
-			const id = newAttemptId();
-			// eslint-disable-next-line no-await-in-loop -- attempts follow each other
-			const {status, headers} = await send(fleet.frontends[(at + attempt) % fleet.frontends.length], requestText({
-				method: 'POST', target: '/book/1', host: hostname, id, body: booking, headers: {...authorization, 'X-Deadline-Ms': '3000'},
-			}), 4000);
-			const hasRun = engines.some(engine => engine.runs.some(run => run.id === id));
-			record.add(`client: ${id} for ${booking} answered ${status}${hasRun ? ', has run' : ', has not run'}`);
-			if (!promises.has(status)) {
-				break;
-			}
-
-			if (hasRun) {
-				broken.push(id);
-			}
-
-			await sleep(Number(headers['retry-after'] ?? 0) * 1000); // eslint-disable-line no-await-in-loop -- as above
-		}
-
-		return broken;
+	const ask = async (frontend, target) => {
+		const id = newAttemptId();
+		const result = await send(frontend, requestText({
+			method: 'POST', target, host: hostname, id, body: '{}', headers: {
+				...authorization, 'X-Model': '*', 'X-Token-Count': '100,20', 'X-Prefix-Hash': `${id.slice(8)}:80,${id.slice(0, 8)}:20`, 'X-Deadline-Ms': '20000',
+			},
+		}), 20_000);
+		const ids = eventIds(result.body);
+		record.add(`client: ${id} answered ${result.status}, ending ${result.ending}, events ${ids.join(',')}`);
+		const isInOrder = ids.every((event, index) => event === index + 1);
+		return result.status === 200 && (!isInOrder || (result.ending === 'complete' && ids.length < events)) ? id : undefined;
 	};
 
 	await fleet.start(configuration);
 	await Promise.all(engines.map(async engine => engine.start()));
 	await sleep(1500);
 	startedAt = performance.now();
-	const broken = [];
-	for (let at = 0; at < bookings; at++) {
-		broken.push(...await book(`booking-${at + 1}`, at)); // eslint-disable-line no-await-in-loop -- bookings follow each other
+	const answers = [];
+	for (let at = 0; at < requests; at++) {
+		const kind = `/chat/${at % 2 === 0 ? 'doubtful' : 'clear'}/${at % 4 < 2 ? 'short' : 'long'}`;
+		answers.push(ask(fleet.frontends[Math.floor(at / 4) % fleet.frontends.length], kind));
+		await sleep(requestIntervalMs); // eslint-disable-line no-await-in-loop -- requests follow each other
 	}
 
-	const doubled = [...runs].filter(([, count]) => count > 1).map(([booking]) => booking);
-	record.add(`${broken.length} requests that ran were answered as not run: ${broken.join(', ')}; run twice by a retry: ${doubled.join(', ')}`);
+	const results = await Promise.all(answers);
+	const broken = results.filter(Boolean);
+	record.add(`${hasTrouble ? chosen.size : 0} answers were spoilt; ${broken.length} of ${requests} streams lack an event or repeat one: ${broken.join(', ')}`);
 	return broken.length > 0 ? outcome.broken : outcome.held;
 });
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -1,85 +1,105 @@
+
 import {setTimeout as sleep} from 'node:timers/promises';
+import {performance} from 'node:perf_hooks';
 import {outcome, runCase} from '../stand-ins/case.mjs';
+import {Engine} from '../stand-ins/engine.mjs';
 import {
 	authorization, bounds, limits, tenant,
 } from '../stand-ins/fleet.mjs';
-import {Engine} from '../stand-ins/engine.mjs';
-import {
-	eventIds, newAttemptId, requestText, send,
-} from '../stand-ins/client.mjs';
-import {answerStream, answerUnframedStream} from '../stand-ins/stream.mjs';
+import {newAttemptId, requestText, send} from '../stand-ins/client.mjs';
+import {answerStream} from '../stand-ins/stream.mjs';
 
-const hostname = 'chat.example';
-const engineCount = 4;
-const streams = 320;
-const events = 60;
-const eventMs = 250;
-/** Of the answers of half of the engines, one in so many has no length. */
-const unframedInterval = 20;
-/** Time in milliseconds after the start of the streams at which one entry host is stopped. */
-const stopAfterMs = 1500;
+const hostname = 'desk.example';
+/** Streams that clients of one entry host read at the same time: as many as it has connections to the engines. */
+const streamsPerEntry = 120;
+const streamEvents = 32;
+const eventMs = 100;
+/** Bookings that follow on each entry host, and the time in milliseconds that an engine takes for one. */
+const bookingsPerEntry = 15;
+const bookingMs = 1500;
+/** Time in milliseconds between the streams, the bookings and the leave of an engine. */
+const stepMs = 300;
+/** Time in milliseconds for which a leaving engine goes on after `DrainMs`. */
+const lingerMs = 1800;
 
+const route = {
+	Hostname: hostname, Service: 'desk', Anonymous: false, Priority: 2,
+};
 const configuration = {
 	Version: 1,
-	Routes: [{
-		Name: 'r-chat', Hostname: hostname, PathPrefix: '/chat/', RouteType: 'streaming', TimeoutMs: 25_000, TargetLatencyMs: 1000, TargetItlMs: 800, Priority: 2,
-		Service: 'pool', MaxAttempts: 3, Anonymous: false, Sticky: true, Resumable: true,
-	}],
+	Routes: [
+		{
+			...route, Name: 'r-chat', PathPrefix: '/chat/', RouteType: 'streaming', TimeoutMs: 25_000, TargetLatencyMs: 1000, TargetItlMs: 800, MaxAttempts: 3, Sticky: true, Resumable: true,
+		},
+		{
+			...route, Name: 'r-book', PathPrefix: '/book/', RouteType: 'non_idempotent', TimeoutMs: 10_000, TargetLatencyMs: 4000, MaxAttempts: 1,
+		},
+	],
 	Services: [{
-		Name: 'pool', HealthPath: '/healthz', MaxConns: 370, Protocol: 'h1', Tls: false, Backend: {Slots: 128, KvCapacity: 563_973, BaseModels: [{Name: 'm0', Cost: 0.018}]},
+		Name: 'desk', HealthPath: '/healthz', MaxConns: 100, Protocol: 'h1', Tls: false,
 	}],
 	Limits: limits,
 	Tenants: [tenant],
 };
 
 await runCase(import.meta.url, {controls: 3, entries: 2}, async ({fleet, record, hasTrouble, closeLater}) => {
-	const engines = Array.from({length: engineCount}, (_, at) => {
-		let answers = 0;
-		const answer = (req, res) => {
-			const options = {headers: engine.headersOf(req.id), events, eventMs};
-			if (at < engineCount / 2 && ++answers % unframedInterval === 0) {
-				record.add(`engine ${engine.name}: answers ${req.id} without a length`);
-				answerUnframedStream(req, res, options);
-			} else {
-				answerStream(req, res, options);
+	const arrivals = [];
+	let acknowledgedAt = Infinity;
+	const answer = async (engine, at, {req, id}, res) => {
+		arrivals.push({id, at: performance.now(), isLeaving: at === 0});
+		if (req.url.startsWith('/book/')) {
+			await sleep(bookingMs);
+			if (!res.destroyed) {
+				res.writeHead(200, {...engine.headersOf(id), 'content-length': 2}).end('ok');
 			}
-		};
 
-		const engine = closeLater(new Engine({
-			fleet, name: `pool-${at + 1}`, service: 'pool', slots: 128, answer,
-		}));
-		return engine;
-	});
-	const ask = async frontend => {
+			return;
+		}
+
+		await answerStream({req, id}, res, {headers: engine.headersOf(id), events: streamEvents, eventMs});
+	};
+
+	const engines = Array.from({length: 4}, (_, at) => closeLater(new Engine({
+		fleet, name: `desk-${at + 1}`, service: 'desk', slots: 96, answer: (req, res) => answer(engines[at], at, req, res),
+	})));
+	const [old, ...others] = engines;
+	const replacement = others.pop();
+	const ask = async (frontend, target) => {
 		const id = newAttemptId();
 		const result = await send(frontend, requestText({
-			method: 'POST', target: '/chat/1', host: hostname, id, body: '{}', headers: {
-				...authorization, 'X-Model': 'm0', 'X-Token-Count': '100,60', 'X-Prefix-Hash': `${id.slice(8)}:80,${id.slice(0, 8)}:20`, 'X-Deadline-Ms': '25000',
-			},
-		}), 26_000);
-		const ids = eventIds(result.body);
-		record.add(`client: ${id} answered ${result.status}, framing ${result.framing}, ending ${result.ending}, ${ids.length} of ${events} events`);
-		return {id, ids, ...result};
+			method: 'POST', target, host: hostname, id, body: '{}', headers: {...authorization, 'X-Deadline-Ms': '9000'},
+		}), 10_000);
+		record.add(`client: ${id} ${target} answered ${result.status}, ending ${result.ending}`);
+		return {id, ...result};
 	};
 
+	const askAll = (count, target) => fleet.frontends.flatMap(frontend => Array.from({length: count}, async () => ask(frontend, target)));
 	await fleet.start(configuration);
-	await Promise.all(engines.map(async engine => engine.start()));
+	await Promise.all([old, ...others].map(async engine => engine.start()));
 	await sleep(1500);
-	const [entry] = fleet.entries;
-	const answers = Array.from({length: streams}, async (_, at) => ask(fleet.frontends[at % fleet.frontends.length]));
-	await sleep(stopAfterMs);
-	let kill;
+	const streams = askAll(streamsPerEntry, '/chat/1');
+	await sleep(stepMs);
+	const bookings = askAll(bookingsPerEntry, '/book/1');
+	await sleep(stepMs);
 	if (hasTrouble) {
-		entry.signal('SIGTERM');
-		kill = setTimeout(() => {
-			entry.signal('SIGKILL');
-		}, bounds.GraceS * 1000);
+		await replacement.start();
+		await old.drain();
+		acknowledgedAt = performance.now();
+		record.add(`engine ${old.name}: its leave is acknowledged`);
+		await sleep(bounds.DrainMs + lingerMs);
+		await old.leave();
+		record.add(`engine ${old.name}: ends`);
+		old.close();
+	}
+
+	await Promise.all(streams);
+	const results = await Promise.all(bookings);
+	const late = arrivals.filter(({at, isLeaving}) => isLeaving && at > acknowledgedAt + bounds.DrainMs);
+	const lost = late.filter(({id}) => results.some(result => result.id === id && result.status !== 200));
+	for (const {id, at} of late) {
+		record.add(`${id} reached the leaving engine ${Math.round(at - acknowledgedAt)} ms after the acknowledgement`);
 	}
 
-	const results = await Promise.all(answers);
-	clearTimeout(kill);
-	const broken = results.filter(({status, ending, ids}) => status === 200 && ending === 'complete' && ids.length < events);
-	record.add(`${results.filter(({ending}) => ending !== 'complete').length} answers were cut, and their clients see it`);
-	record.add(`${broken.length} of ${streams} answers look complete though events are missing: ${broken.map(({id}) => id).join(', ')}`);
-	return broken.length > 0 ? outcome.broken : outcome.held;
+	record.add(`${late.length} requests reached the engine later than ${bounds.DrainMs} ms after the acknowledgement of its leave; ${lost.length} bookings of them were lost`);
+	return late.length > 0 ? outcome.broken : outcome.held;
 });
--- a/review/stand-ins/case.mjs
+++ b/review/stand-ins/case.mjs
@@ -38,6 +38,14 @@
 		process.exit(code); // eslint-disable-line unicorn/no-process-exit -- the result of the case
 	};
 
+	for (const event of ['uncaughtException', 'unhandledRejection']) {
+		process.once(event, error => {
+			record.add(`the case could not run: ${error.stack}`);
+			code = outcome.notRun;
+			finish();
+		});
+	}
+
 	try {
 		fleet = new Fleet({root: path.join(folder, '../..'), record, ...options});
 		code = await play({
