Log how an answer was framed and how it ended towards its caller

The incident with answers that look complete leaves three hypotheses (the server's framing is passed on; the process ends with such an answer open; a held answer is replayed) that the log could not tell apart: `request finished` named neither the framing of the caller's answer nor that of the server, nor whether the caller got all of it, and requests in flight at the end of a process had no line at all.

`request finished` now has `framing`, `ending` and `serverFraming`, and a planned stop whose time is over logs the requests that it cuts off, 200 at most. What comes to a caller goes through `CallerAnswer`, which knows how it ended. No behaviour towards callers or servers changes.

--- a/src/common/forwarding/answer-delivery.ts
+++ b/src/common/forwarding/answer-delivery.ts
@@ -2,7 +2,7 @@
 import {type Disposable} from '../base/disposable.js';
 import {AnswerRelay, type AnswerProblem, type ChunkProblem} from './answer-relay.js';
 import {type Attempt} from './attempt.js';
-import {type CallerSink} from './caller-sink.js';
+import {type CallerAnswer} from './caller-answer.js';
 import {type AnswerHead} from './forward-request.js';
 import {repetition, type Route} from './routing-config.js';
 import {StallWatch} from './stall-watch.js';
@@ -15,13 +15,13 @@
 
 	constructor(
 		clock: Clock,
-		sink: CallerSink,
+		answer: CallerAnswer,
 		private readonly _route: Route,
 		resumeAfter: number | undefined,
 		/** Called when the server in use has been silent for too long; undefined when no other server may be asked. */
 		private readonly _onStall: (() => void) | undefined,
 	) {
-		this._relay = new AnswerRelay(sink, _route.repetition === repetition.stream, resumeAfter);
+		this._relay = new AnswerRelay(answer, _route.repetition === repetition.stream, resumeAfter);
 		this._stallWatch = new StallWatch(clock, () => {
 			_onStall?.();
 		});
--- a/src/common/forwarding/answer-relay.ts
+++ b/src/common/forwarding/answer-relay.ts
@@ -1,6 +1,7 @@
 import {type Attempt} from './attempt.js';
-import {type CallerSink} from './caller-sink.js';
+import {type CallerAnswer} from './caller-answer.js';
 import {type StreamProblem} from './event-splitter.js';
+import {answerFraming} from './answer-framing.js';
 import {type AnswerHead} from './forward-request.js';
 
 /** Why an ended answer is incomplete. */
@@ -14,7 +15,7 @@
 	private _isStreamFramed = true;
 
 	constructor(
-		private readonly _sink: CallerSink,
+		private readonly _answer: CallerAnswer,
 		private readonly _isStreamRoute: boolean,
 		/** ID of the last event that the caller has received. */
 		private _lastEventId: number | undefined,
@@ -27,9 +28,9 @@
 
 	/** Sends the head of a streamed answer, unless an earlier attempt has already sent one. */
 	begin(head: AnswerHead): void {
-		if (this._isStreamed(head) && !this._sink.isStarted) {
-			this._isStreamFramed = !head.isUnframed;
-			this._sink.writeHead(head.status, head.headers, head.isUnframed ? 'until-close' : 'chunked');
+		if (this._isStreamed(head) && !this._answer.isStarted) {
+			this._isStreamFramed = head.framing !== answerFraming.close;
+			this._answer.begin(head.status, head.headers, head.framing === answerFraming.close ? 'until-close' : 'chunked');
 		}
 	}
 
@@ -42,7 +43,7 @@
 			}
 
 			this._lastEventId = lastId ?? this._lastEventId;
-			return completeEvents ? this._sink.write(completeEvents) : true;
+			return completeEvents ? this._answer.write(completeEvents) : true;
 		}
 
 		return attempt.buffer(chunk) || 'answer-too-long';
@@ -60,19 +61,19 @@
 	/** Ends a complete answer. @returns whether the caller can see that it is complete. */
 	end({bufferedChunks, bufferedBytes, splitter}: Attempt, head: AnswerHead): boolean {
 		if (!this._isStreamed(head)) {
-			this._sink.writeHead(head.status, head.headers, head.isUnframed ? 'until-close' : bufferedBytes);
+			this._answer.begin(head.status, head.headers, head.framing === answerFraming.close ? 'until-close' : bufferedBytes);
 			for (const chunk of bufferedChunks) {
-				this._sink.write(chunk);
+				this._answer.write(chunk);
 			}
-		} else if (this._isStreamFramed && head.isUnframed) {
+		} else if (this._isStreamFramed && head.framing === answerFraming.close) {
 			// The caller's stream is framed, but this answer ends with its connection: a crash would look the same as its end.
-			this._sink.destroy();
+			this._answer.break();
 			return false;
 		} else if (splitter.held.length > 0) {
-			this._sink.write(splitter.held);
+			this._answer.write(splitter.held);
 		}
 
-		this._sink.end();
+		this._answer.complete();
 		return true;
 	}
 
--- /dev/null
+++ b/src/common/forwarding/caller-answer.ts
@@ -0,0 +1,70 @@
+import {type AnswerFraming} from './answer-framing.js';
+import {type CallerSink, type Refusal} from './caller-sink.js';
+
+/** How an answer ended towards its caller. */
+export const answerEnding = {
+	/** Complete. */
+	whole: 'whole',
+	/** Incomplete. */
+	broken: 'broken',
+	/** With an error of the router. */
+	refused: 'refused',
+	/** The caller left first. */
+	gone: 'gone',
+} as const;
+export type AnswerEnding = typeof answerEnding[keyof typeof answerEnding];
+
+/** What comes to the caller of one request, and how it ends. */
+export class CallerAnswer {
+	private _ending: AnswerEnding | undefined;
+
+	constructor(private readonly _sink: CallerSink) {}
+
+	/** Whether the head of an answer has been sent. */
+	get isStarted(): boolean {
+		return this._sink.isStarted;
+	}
+
+	/** Undefined until the head of an answer has been sent. */
+	get framing(): AnswerFraming | undefined {
+		return this._sink.framing;
+	}
+
+	/** Undefined while the answer is under way. */
+	get ending(): AnswerEnding | undefined {
+		return this._ending;
+	}
+
+	/** Sends the head of an answer. */
+	begin(status: number, headers: readonly string[], framing: number | 'chunked' | 'until-close'): void {
+		this._sink.writeHead(status, headers, framing);
+	}
+
+	/** @returns whether the caller keeps up. */
+	write(chunk: Uint8Array): boolean {
+		return this._sink.write(chunk);
+	}
+
+	/** Ends an answer that is complete. */
+	complete(): void {
+		this._ending = answerEnding.whole;
+		this._sink.end();
+	}
+
+	/** Ends an answer that is not complete. */
+	break(): void {
+		this._ending = answerEnding.broken;
+		this._sink.destroy();
+	}
+
+	/** Answers with an error of the router. */
+	refuse(refusal: Refusal): void {
+		this._ending = answerEnding.refused;
+		this._sink.refuse(refusal);
+	}
+
+	/** Records that the caller has left. */
+	leave(): void {
+		this._ending ??= answerEnding.gone;
+	}
+}
--- a/src/common/forwarding/caller-sink.ts
+++ b/src/common/forwarding/caller-sink.ts
@@ -1,3 +1,5 @@
+import {type AnswerFraming} from './answer-framing.js';
+
 /** An error response of the router itself. */
 export interface Refusal {
 	readonly status: number;
@@ -12,6 +14,8 @@
 export interface CallerSink {
 	/** Whether the head of an answer has been sent. */
 	readonly isStarted: boolean;
+	/** Framing of the answer whose head has been sent. */
+	readonly framing: AnswerFraming | undefined;
 	/** Called once when the caller has disconnected before its answer was complete. */
 	onDisconnect: (() => void) | undefined;
 	onDrain: (() => void) | undefined;
--- a/src/common/forwarding/crash-guard.ts
+++ b/src/common/forwarding/crash-guard.ts
@@ -1,3 +1,4 @@
+import {answerFraming} from './answer-framing.js';
 import {type Attempt} from './attempt.js';
 import {type CrashSuspect} from './crash-observer.js';
 import {type AdmittedRequest} from './forwarder.js';
@@ -47,7 +48,7 @@
 	/** Records the complete answer of an attempt. */
 	recordComplete({head}: Attempt): void {
 		// The end of an answer without framing may be the end of its server.
-		if (head && isSuccess(head) && !head.isUnframed) {
+		if (head && isSuccess(head) && head.framing !== answerFraming.close) {
 			this._services.crashes.recordComplete(this._suspect);
 		}
 	}
--- a/src/common/forwarding/forward-request.ts
+++ b/src/common/forwarding/forward-request.ts
@@ -1,3 +1,4 @@
+import {type AnswerFraming} from './answer-framing.js';
 import {type Repetition} from './routing-config.js';
 
 /** A part of a prompt that several requests may share. */
@@ -100,8 +101,8 @@
 	readonly requestsPerSecond: number | undefined;
 	/** Length of the body in bytes; undefined when the head does not state it. */
 	readonly length: number | undefined;
-	/** Whether the body ends with its connection, so that a truncated body looks like a complete one. */
-	readonly isUnframed: boolean;
+	/** What marks the end of the body. */
+	readonly framing: AnswerFraming;
 	/** Time in seconds after which the backend server may be asked again. */
 	readonly retryAfterSeconds: number | undefined;
 	/** Refusals for want of room in a second, over all hosts, above which the backend server ends; undefined while it bears any number. */
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -4,6 +4,7 @@
 import {AttemptRecorder} from './attempt-recorder.js';
 import {AttemptEvidence} from './attempt-evidence.js';
 import {type AttemptEvents, type AttemptFailure, withdrawnReason} from './backend-port.js';
+import {CallerAnswer} from './caller-answer.js';
 import {type CallerSink, type Refusal} from './caller-sink.js';
 import {attemptTerms} from './attempt-terms.js';
 import {chooseServer, limitShare, pauseOfAllMs} from './choose-server.js';
@@ -22,7 +23,7 @@
 import {RequestAttempts} from './request-attempts.js';
 import {nullReleaseObserver} from './null-release-observer.js';
 import {type ServerRecord} from './server-pool.js';
-import {reportRequest} from './request-report.js';
+import {reportOpenRequest, type RequestReport, reportRequest} from './request-report.js';
 
 /** Forwards one request from its admission to its final answer: attempts, retries, escalation, resumption and timeout. */
 export class ForwardRun implements EscalatingRequest {
@@ -30,6 +31,7 @@
 	readonly deadlineAt: number;
 	readonly model: RequestModel;
 	private readonly _escalation: Escalation;
+	private readonly _answer: CallerAnswer;
 	private readonly _delivery: AnswerDelivery;
 	private readonly _attempts: RequestAttempts;
 	private readonly _crashes: CrashGuard;
@@ -54,7 +56,8 @@
 		this._attempts = new RequestAttempts(_services, _admitted, this.deadlineAt);
 		this._crashes = new CrashGuard(_services, _admitted);
 		this._handOver = new HandOver(_services, _admitted);
-		this._delivery = new AnswerDelivery(_services.clock, _sink, route, req.resumeAfter, this._attempts.isRepeatable
+		this._answer = new CallerAnswer(_sink);
+		this._delivery = new AnswerDelivery(_services.clock, this._answer, route, req.resumeAfter, this._attempts.isRepeatable
 			? () => {
 				this._onStall();
 			}
@@ -75,6 +78,7 @@
 			this._timeOut();
 		});
 		this._sink.onDisconnect = () => {
+			this._answer.leave();
 			this._finish('caller-gone');
 		};
 
@@ -86,6 +90,11 @@
 		this._attempt();
 	}
 
+	/** Logs the state of the request, which the end of the process cuts off. */
+	reportOpen(): void {
+		reportOpenRequest(this._services, this._admitted, this._report);
+	}
+
 	askLarger(): void {
 		this._sendToBest(new Set());
 	}
@@ -174,7 +183,7 @@
 			counters.increment('forward.handed-over');
 			// The other host chooses the model, unless the caller has a part of an answer already.
 			attempt.handle = peerPort.send(req.message, this._handOver.terms(record, {
-				...state, model: this._sink.isStarted ? this.model.name : undefined, attemptsLeft: left,
+				...state, model: this._answer.isStarted ? this.model.name : undefined, attemptsLeft: left,
 			}), this._eventsOf(attempt));
 		} else {
 			attempt.handle = port.send(req.message, attemptTerms(this._services, this._admitted, record, {
@@ -205,7 +214,7 @@
 
 	private _onHead(attempt: Attempt, head: AnswerHead): void {
 		this._records.recordHead(attempt, head);
-		const verdict = judgeHead(head, this._sink.isStarted);
+		const verdict = judgeHead(head, this._answer.isStarted);
 
 		if (verdict === headVerdict.foreign) {
 			this._fail(attempt, verdict);
@@ -231,12 +240,12 @@
 			return;
 		}
 
-		if (verdict === headVerdict.unusable || (verdict === headVerdict.failed && this._sink.isStarted)) {
+		if (verdict === headVerdict.unusable || (verdict === headVerdict.failed && this._answer.isStarted)) {
 			this._fail(attempt, isSuccess(head) ? 'unsigned-answer' : `resumed-${head.status}`);
 			return;
 		}
 
-		if (isSuccess(head) && !this._sink.isStarted && !attempt.isHandedOver && this._attempts.mayRunAgain && this._escalation.start(attempt)) {
+		if (isSuccess(head) && !this._answer.isStarted && !attempt.isHandedOver && this._attempts.mayRunAgain && this._escalation.start(attempt)) {
 			return;
 		}
 
@@ -376,14 +385,14 @@
 			return;
 		}
 
-		if (this._sink.isStarted) {
-			this._sink.destroy();
+		if (this._answer.isStarted) {
+			this._answer.break();
 			this._finish(reason);
 			return;
 		}
 
 		const refusal = this._mayHaveRun ? mayHaveRunRefusal(reason) : this._notRunRefusal(reason);
-		this._sink.refuse(refusal);
+		this._answer.refuse(refusal);
 		this._finish(refusal.code);
 	}
 
@@ -421,9 +430,13 @@
 		this._isFinished = true;
 		this._timer?.dispose();
 		this._delivery.dispose();
-		reportRequest(this._services, this._admitted, {
-			startedAt: this.startedAt, attempts: this._attempts.count, trail: this._trail, outcome, isBroken: this._crashes.hasBroken,
-		});
+		reportRequest(this._services, this._admitted, {...this._report, outcome});
 		this._onFinished();
 	}
+
+	private get _report(): RequestReport {
+		return {
+			startedAt: this.startedAt, attempts: this._attempts.count, trail: this._trail, outcome: undefined, answer: this._answer, serverFraming: this._current?.head?.framing, isBroken: this._crashes.hasBroken,
+		};
+	}
 }
--- a/src/common/forwarding/forwarder.ts
+++ b/src/common/forwarding/forwarder.ts
@@ -16,6 +16,9 @@
 /** Jitter in seconds of the retries of callers that were refused for want of a renewal. */
 const renewalRetryJitterSeconds = 0.3;
 
+/** Maximum number of requests in flight that are logged at the end of the process. */
+const maxOpenReports = 200;
+
 /** A request that may be forwarded, with its route, customer and service. */
 export interface AdmittedRequest {
 	readonly req: ForwardRequest;
@@ -38,7 +41,7 @@
 
 /** Checks requests against the routing configuration and forwards those that it allows. */
 export class Forwarder {
-	private _active = 0;
+	private readonly _runs = new Set<ForwardRun>();
 	private readonly _startedAt: number;
 	private readonly _queue: LeaseQueue;
 	private readonly _confirmations: ConfirmationQueue;
@@ -57,7 +60,7 @@
 
 	/** Number of requests in flight, including those that wait for a lease or a confirmation. */
 	get active(): number {
-		return this._active + this._queue.size + this._confirmations.size;
+		return this._runs.size + this._queue.size + this._confirmations.size;
 	}
 
 	/** Forwards or refuses a request. While the host has no lease, or cannot know whether its refusal is still right, the request may wait for a short time. */
@@ -94,6 +97,18 @@
 		}
 	}
 
+	/** Logs the requests in flight, which the end of the process cuts off. */
+	stop(): void {
+		const {logger} = this._services;
+		if (this.active > 0) {
+			logger.warn({active: this.active, waiting: this._queue.size + this._confirmations.size}, 'requests are open at the end of the process');
+		}
+
+		for (const run of [...this._runs].slice(0, maxOpenReports)) {
+			run.reportOpen();
+		}
+	}
+
 	/** Whether this host has a configuration and a valid lease. */
 	private get _canAdmit(): boolean {
 		return this._services.state().table !== undefined && this._services.lease.isValid();
@@ -132,10 +147,10 @@
 			return;
 		}
 
-		this._active++;
 		const run = new ForwardRun(this._services, admitted, sink, () => {
-			this._active--;
+			this._runs.delete(run);
 		});
+		this._runs.add(run);
 		run.start();
 	}
 
--- a/src/daemon/caller-drain.test.ts
+++ b/src/daemon/caller-drain.test.ts
@@ -26,6 +26,7 @@
 	const start = clock.now();
 	let closedAt: number | undefined;
 	let endedAt: number | undefined;
+	let stoppedAt: number | undefined;
 	const follower = {
 		entry: {
 			host: 'e', incarnation: 1, address: 'a', peerAddress: 'a', zone: 'z', leaving: false,
@@ -44,6 +45,9 @@
 			return clock.now() - start < busyUntil ? 1 : 0;
 		},
 		drain: () => undefined,
+		stop() {
+			stoppedAt = clock.now() - start;
+		},
 		close() {
 			closedAt = clock.now() - start;
 		},
@@ -58,6 +62,7 @@
 	await clock.advance(graceMs);
 	expect(closedAt).toBeGreaterThanOrEqual(listLifetimeMs - 200);
 	expect(closedAt).toBeLessThanOrEqual(listLifetimeMs);
+	expect(stoppedAt).toBe(endedAt);
 	expect(endedAt).toBeLessThanOrEqual(endsBy);
 	expect(endedAt).toBeGreaterThanOrEqual(Math.min(busyUntil, graceMs - 200));
 });
--- a/src/daemon/caller-drain.ts
+++ b/src/daemon/caller-drain.ts
@@ -7,7 +7,7 @@
 /** Options of `drainCallers`. */
 export interface CallerDrainOptions {
 	readonly follower: Pick<ControlFollower, 'entry' | 'setLeaving' | 'propose'>;
-	readonly callers: Pick<CallerServer, 'active' | 'drain' | 'close'>;
+	readonly callers: Pick<CallerServer, 'active' | 'drain' | 'close' | 'stop'>;
 	readonly clock: Clock;
 	readonly logger: Logger;
 	/** Longest time in milliseconds for which a caller may cache the list of entry hosts. */
@@ -52,5 +52,6 @@
 		await sleep(clock, pollMs); // eslint-disable-line no-await-in-loop -- waits until the last request has ended
 	}
 
+	callers.stop();
 	logger.info({active: callers.active}, 'stopped');
 }
--- a/src/daemon/caller-server.ts
+++ b/src/daemon/caller-server.ts
@@ -79,6 +79,11 @@
 		this._server.closeIdleConnections();
 	}
 
+	/** Logs the requests in flight, which the end of the process cuts off. */
+	stop(): void {
+		this._forwarder.stop();
+	}
+
 	dispose(): void {
 		this._server.close();
 		this._server.closeAllConnections();
--- a/src/daemon/http-caller-sink.ts
+++ b/src/daemon/http-caller-sink.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
+import {answerFraming, type AnswerFraming} from '../common/forwarding/answer-framing.js';
 import {type CallerSink, type Refusal} from '../common/forwarding/caller-sink.js';
 import {type CallerCodec} from './caller-codec.js';
 
@@ -7,6 +8,7 @@
 export class HttpCallerSink implements CallerSink {
 	onDisconnect: (() => void) | undefined;
 	onDrain: (() => void) | undefined;
+	private _framing: AnswerFraming | undefined;
 
 	constructor(private readonly _res: ServerResponse, private readonly _codec: CallerCodec) {
 		_res.on('drain', () => {
@@ -23,6 +25,10 @@
 		return this._res.headersSent;
 	}
 
+	get framing(): AnswerFraming | undefined {
+		return this._framing;
+	}
+
 	writeHead(status: number, headers: readonly string[], framing: number | 'chunked' | 'until-close'): void {
 		const sent = [...headers];
 		if (framing === 'until-close') {
@@ -33,6 +39,7 @@
 		}
 
 		this._res.writeHead(status, this._withConnection(sent));
+		this._framing = typeof framing === 'number' ? answerFraming.length : (this._res.chunkedEncoding ? answerFraming.chunked : answerFraming.close);
 		if (typeof framing !== 'number') {
 			this._res.flushHeaders();
 		}
--- a/src/node/http-backend-port.test.ts
+++ b/src/node/http-backend-port.test.ts
@@ -11,7 +11,7 @@
 const codec: BackendCodec = {
 	encodeHeaders: () => ['host', 'h.example'],
 	decodeHead: (status, headers) => ({
-		status, headers: [], isNotRun: false, isHostFault: false, isOtherServer: false, isSigned: true, isForRequest: true, confidence: undefined, requestsPerSecond: undefined, maxRefusalsPerSecond: undefined, length: headers['content-length'] === undefined ? undefined : Number(headers['content-length']), isUnframed: false, retryAfterSeconds: undefined, isLeaving: false,
+		status, headers: [], isNotRun: false, isHostFault: false, isOtherServer: false, isSigned: true, isForRequest: true, confidence: undefined, requestsPerSecond: undefined, maxRefusalsPerSecond: undefined, length: headers['content-length'] === undefined ? undefined : Number(headers['content-length']), framing: 'chunked', retryAfterSeconds: undefined, isLeaving: false,
 	}),
 };
 
--- a/src/testing/forwarder-fixture.ts
+++ b/src/testing/forwarder-fixture.ts
@@ -22,6 +22,7 @@
 import {ServerPool} from '../common/forwarding/server-pool.js';
 import {ManualClock} from './manual-clock.js';
 import {RecordingCounters} from './recording-counters.js';
+import {RecordingLogger} from './recording-logger.js';
 import {RecordingSink} from './recording-sink.js';
 import {ScriptedPort} from './scripted-port.js';
 
@@ -68,14 +69,14 @@
 }
 
 /** Parts of a forwarder that a test sets; the others do nothing. */
-export type TestForwarderOptions = Pick<ForwardServices, 'clock' | 'lease' | 'pool' | 'port' | 'budget' | 'state'> & Partial<Pick<ForwardServices, 'observer' | 'crashes' | 'reach' | 'peers' | 'peerPort' | 'counters' | 'confirmConfiguration' | 'configurationBoundMs'>> & {readonly random: RandomSource};
+export type TestForwarderOptions = Pick<ForwardServices, 'clock' | 'lease' | 'pool' | 'port' | 'budget' | 'state'> & Partial<Pick<ForwardServices, 'observer' | 'crashes' | 'reach' | 'peers' | 'peerPort' | 'counters' | 'confirmConfiguration' | 'configurationBoundMs' | 'logger'>> & {readonly random: RandomSource};
 
-/** Creates a forwarder without logs and sticky sessions. */
+/** Creates a forwarder without sticky sessions. */
 export function createTestForwarder({
-	random, observer = nullReleaseObserver, crashes = nullCrashes, reach = nullReach, peers = new PeerHosts('self'), peerPort = new ScriptedPort(), counters = nullCounters, confirmConfiguration = () => undefined, configurationBoundMs = 2000, ...options
+	random, observer = nullReleaseObserver, crashes = nullCrashes, reach = nullReach, peers = new PeerHosts('self'), peerPort = new ScriptedPort(), counters = nullCounters, confirmConfiguration = () => undefined, configurationBoundMs = 2000, logger = nullLogger, ...options
 }: TestForwarderOptions): Forwarder {
 	return new Forwarder({
-		...options, observer, crashes, reach, peers, peerPort, counters, confirmConfiguration, configurationBoundMs, digests: testDigests, zone: 'z', logger: nullLogger, placement: new AffinityPlacement(random), speeds: new ModelSpeeds(), models: new LoadAwareCascade(60, 1), sessions: {recordRequest: () => undefined, isSticky: () => false}, random: () => random.next(),
+		...options, observer, crashes, reach, peers, peerPort, counters, confirmConfiguration, configurationBoundMs, digests: testDigests, zone: 'z', logger, placement: new AffinityPlacement(random), speeds: new ModelSpeeds(), models: new LoadAwareCascade(60, 1), sessions: {recordRequest: () => undefined, isSticky: () => false}, random: () => random.next(),
 	});
 }
 
@@ -101,12 +102,13 @@
 	/** Times at which the forwarder asked for a confirmation of the configuration. */
 	const confirmationsAsked: number[] = [];
 	const counters = new RecordingCounters();
+	const logger = new RecordingLogger();
 	const budget = new RetryBudget(0.5, 5);
 	const quarantinedParts = new Set<string>();
 	const quarantinedRequests = new Set<string>();
 	const crashes: CrashObserver = {...nullCrashes};
 	const forwarder = createTestForwarder({
-		clock, lease, random, pool, port, crashes, counters, confirmConfiguration: () => confirmationsAsked.push(clock.now()), budget: () => budget, state: () => ({
+		clock, lease, random, pool, port, crashes, counters, logger, confirmConfiguration: () => confirmationsAsked.push(clock.now()), budget: () => budget, state: () => ({
 			table, rollouts: new Map(), quarantinedParts, quarantinedRequests, hostCount: 1, hostIndex: 0,
 		}),
 	});
@@ -121,6 +123,6 @@
 	};
 
 	return {
-		clock, pool, port, lease, forwarder, send, budget, quarantinedParts, quarantinedRequests, crashes, apply, confirmationsAsked, counters,
+		clock, pool, port, lease, forwarder, send, budget, quarantinedParts, quarantinedRequests, crashes, apply, confirmationsAsked, counters, logger,
 	};
 }
--- a/src/testing/recording-sink.ts
+++ b/src/testing/recording-sink.ts
@@ -1,8 +1,10 @@
+import {answerFraming, type AnswerFraming} from '../common/forwarding/answer-framing.js';
 import {type CallerSink, type Refusal} from '../common/forwarding/caller-sink.js';
 
 /** Caller sink that records what it receives. */
 export class RecordingSink implements CallerSink {
 	status: number | undefined;
+	framing: AnswerFraming | undefined;
 	text = '';
 	refusal: Refusal | undefined;
 	isEnded = false;
@@ -18,8 +20,9 @@
 		return this.status !== undefined;
 	}
 
-	writeHead(status: number): void {
+	writeHead(status: number, _headers: readonly string[], framing: number | 'chunked' | 'until-close'): void {
 		this.status = status;
+		this.framing = typeof framing === 'number' ? answerFraming.length : (framing === 'chunked' ? answerFraming.chunked : answerFraming.close);
 	}
 
 	write(chunk: Uint8Array): boolean {
--- a/src/testing/scripted-port.ts
+++ b/src/testing/scripted-port.ts
@@ -34,6 +34,6 @@
 /** Creates the head of an answer with default fields. */
 export function answerHead(changes: Partial<AnswerHead> = {}): AnswerHead {
 	return {
-		status: 200, headers: [], isNotRun: false, isHostFault: false, isOtherServer: false, isSigned: true, isForRequest: true, confidence: undefined, requestsPerSecond: undefined, maxRefusalsPerSecond: undefined, length: undefined, isUnframed: false, retryAfterSeconds: undefined, isLeaving: false, ...changes,
+		status: 200, headers: [], isNotRun: false, isHostFault: false, isOtherServer: false, isSigned: true, isForRequest: true, confidence: undefined, requestsPerSecond: undefined, maxRefusalsPerSecond: undefined, length: undefined, framing: 'chunked', retryAfterSeconds: undefined, isLeaving: false, ...changes,
 	};
 }
