Check held answers as they arrive, and replay only what was valid

Cause: the answer of a smaller model that is held back while a larger one is asked was buffered without a look at its bytes. On its delivery `ForwardRun.deliver` passed the chunks to `_onData` in a loop. When one was no event, `_fail` aborted the attempt and sent the request to another server, but the loop went on and relayed the later chunks, and `_onEnd` then ended the stream as complete.

A held answer now goes through the same checks as a live one when it arrives: the splitter reads each chunk and only complete events are kept; at its end it is checked for a torn event or a short body. One that fails is given up while it is held, the larger model goes on, and the wait for its head gets the usual timeout (before, a silent larger model kept the request to its end). The replay writes what was checked, so nothing in it can fail, and it follows the caller's back-pressure. After the delivery the answer is live and is resumed after its last event when it breaks. A held answer that is only too long to be kept does not count against its server, as before.

Ruled out: the hand-back itself (the attempt of the larger model was aborted in all cases), and answers without a length that are reset while they are held: the port reports them as failures, so they never counted as ended.

--- a/src/common/forwarding/answer-delivery.ts
+++ b/src/common/forwarding/answer-delivery.ts
@@ -59,6 +59,19 @@
 		return result;
 	}
 
+	/** Checks and buffers a chunk of an answer that is held back. @returns why the answer cannot be used; undefined while it can. */
+	hold(attempt: Attempt, chunk: Uint8Array): ChunkProblem | undefined {
+		return this._relay.hold(attempt, chunk);
+	}
+
+	/** Begins to relay an answer that was held back, with what has arrived of it. */
+	beginHeld(attempt: Attempt): void {
+		this.begin(attempt.head!);
+		if (!this._relay.replay(attempt)) {
+			this._stallWatch.suspend();
+		}
+	}
+
 	/** Called when the caller reads again. */
 	resume(): void {
 		this._stallWatch.resume();
--- a/src/common/forwarding/answer-relay.ts
+++ b/src/common/forwarding/answer-relay.ts
@@ -49,6 +49,29 @@
 		return attempt.buffer(chunk) || 'answer-too-long';
 	}
 
+	/** Checks a chunk of an answer that is held back, and buffers what is complete of it. @returns why the answer cannot be used; undefined while it can. */
+	hold(attempt: Attempt, chunk: Uint8Array): ChunkProblem | undefined {
+		if (!this._isStreamed(attempt.head!)) {
+			return attempt.buffer(chunk) ? undefined : 'answer-too-long';
+		}
+
+		const {completeEvents, problem} = attempt.splitter.push(chunk);
+		return problem ?? (completeEvents === undefined || attempt.buffer(completeEvents) ? undefined : 'answer-too-long');
+	}
+
+	/** Relays what was held back of a stream. @returns whether to continue reading. */
+	replay(attempt: Attempt): boolean {
+		let isKeepingUp = true;
+		if (this._isStreamed(attempt.head!)) {
+			this._lastEventId = attempt.splitter.lastId ?? this._lastEventId;
+			for (const chunk of attempt.takeBuffered()) {
+				isKeepingUp = this._answer.write(chunk);
+			}
+		}
+
+		return isKeepingUp;
+	}
+
 	/** Returns why an ended answer is incomplete; undefined when it is complete. */
 	problemOf({splitter, bufferedBytes}: Attempt, head: AnswerHead): AnswerProblem | undefined {
 		if (this._isStreamed(head)) {
--- a/src/common/forwarding/escalation.ts
+++ b/src/common/forwarding/escalation.ts
@@ -76,13 +76,6 @@
 		return true;
 	}
 
-	/** Buffers a part of the held answer. An answer that is too long to be buffered is given up. */
-	buffer(chunk: Uint8Array): void {
-		if (this._held && !this._held.buffer(chunk)) {
-			this.drop('too-long');
-		}
-	}
-
 	/** Delivers the held answer. @returns whether there was one. */
 	deliver(): boolean {
 		const held = this._release();
--- a/src/common/forwarding/event-splitter.ts
+++ b/src/common/forwarding/event-splitter.ts
@@ -44,6 +44,11 @@
 		return this._held;
 	}
 
+	/** ID of the last complete event; undefined before the first one. */
+	get lastId(): number | undefined {
+		return this._lastId;
+	}
+
 	/** Whether an event is complete. */
 	get hasEvents(): boolean {
 		return this._lastId !== undefined;
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -112,12 +112,8 @@
 		}
 
 		this._current = earlier;
-		this._delivery.begin(earlier.head!);
-		for (const chunk of earlier.takeBuffered()) {
-			this._onData(earlier, chunk);
-		}
-
-		if (earlier.hasEnded) {
+		this._delivery.beginHeld(earlier);
+		if (earlier.hasEnded && !this._isFinished) {
 			this._onEnd(earlier);
 		}
 	}
@@ -268,7 +264,13 @@
 
 	private _onData(attempt: Attempt, chunk: Uint8Array): boolean {
 		if (this._escalation.holds(attempt)) {
-			this._escalation.buffer(chunk);
+			const problem = this._delivery.hold(attempt, chunk);
+			if (problem === 'answer-too-long') {
+				this._dropHeld(problem);
+			} else if (problem) {
+				this._fail(attempt, problem);
+			}
+
 			return true;
 		}
 
@@ -282,12 +284,6 @@
 	}
 
 	private _onEnd(attempt: Attempt): void {
-		if (this._escalation.holds(attempt)) {
-			attempt.hasEnded = true;
-			attempt.finish();
-			return;
-		}
-
 		const problem = this._delivery.problemOf(attempt);
 		if (problem) {
 			this._records.recordBroken(attempt);
@@ -295,6 +291,12 @@
 			return;
 		}
 
+		if (this._escalation.holds(attempt)) {
+			attempt.hasEnded = true;
+			attempt.finish();
+			return;
+		}
+
 		this.model.recordEnd(attempt);
 		this._crashes.recordComplete(attempt);
 		this._trail.push(attempt.describe(String(attempt.head!.status)));
@@ -349,16 +351,12 @@
 		attempt.recordResult(true, this._services.clock.now());
 		attempt.evidence.recordBroken();
 		if (this._escalation.holds(attempt)) {
-			this._escalation.drop(reason);
-		} else {
-			this.abandon(attempt, reason);
-		}
-
-		// After the smaller answer of an escalation has failed, the larger model may still answer.
-		if (this._current !== attempt) {
+			this._dropHeld(reason);
 			return;
 		}
 
+		this.abandon(attempt, reason);
+
 		if (this._attempts.isRepeatable) {
 			this._retryOrEnd(reason);
 		} else {
@@ -366,6 +364,12 @@
 		}
 	}
 
+	/** Gives up the smaller answer of an escalation; the larger model may still answer. */
+	private _dropHeld(reason: string): void {
+		this._escalation.drop(reason);
+		this._delivery.awaitHead(true);
+	}
+
 	/** Retries at another backend server, or ends the request when no retry is allowed. */
 	private _retryOrEnd(reason: string): void {
 		if (this._escalation.deliver()) {
