Check everything again when a request that waited is written

In the same way a request could be written under a removed route, to a service that the route had left, for a revoked key or for the former customer of a key, on a release that was rejected meanwhile, and with no time left.

Cause: the server is chosen when the request arrives, and the check at the write (`mayStart`) looked only at the lease, the quarantine and what the server itself had said.

`WriteCheck` now looks at all of it at the write: the server is listed, is the same process, serves the service and is not draining; its release may still run for the session; the configuration in force has the route, with the service, the kind of repetition and the customer under which the request was admitted; time is left. For a request that is handed over, the other host is still listed. A request whose server fell away goes to another one without counting as an attempt or taking from the retry budget, also when it was one with a larger model. One that the configuration no longer allows as it was admitted is admitted again if nothing of it has run; else it ends as one that may have run. No retry is taken, and no silent server is given up, for a request that could not be sent again.

--- a/src/common/forwarding/choose-server.ts
+++ b/src/common/forwarding/choose-server.ts
@@ -1,6 +1,7 @@
 import {type AdmittedRequest} from './forwarder.js';
 import {type ForwardRequest} from './forward-request.js';
 import {type ForwardServices} from './forward-services.js';
+import {sessionOf} from './request-session.js';
 import {type LimitShare} from './request-limit.js';
 import {serversForRelease} from './servers-for-release.js';
 import {type ServerRecord} from './server-pool.js';
@@ -18,7 +19,7 @@
 export function chooseServer({pool, placement, state, sessions, clock, zone}: ForwardServices, {req, service}: AdmittedRequest, tried: ReadonlySet<string>): ServerRecord | undefined {
 	const parts = req.generation?.parts ?? [];
 	const rollout = state().rollouts.get(service);
-	const session = {key: req.session ?? parts.at(-1)?.id ?? req.id, isSticky: req.session !== undefined && sessions.isSticky(req.session)};
+	const session = sessionOf({sessions}, {req});
 	const share = limitShare({clock, state});
 	const now = clock.now();
 	const untried = pool.notDraining(service).filter(record => !tried.has(record.key) && record.accepts(now) && record.allows(share, now));
--- a/src/common/forwarding/crash-guard.ts
+++ b/src/common/forwarding/crash-guard.ts
@@ -4,7 +4,7 @@
 import {type AdmittedRequest} from './forwarder.js';
 import {type ForwardServices} from './forward-services.js';
 import {isSuccess} from './head-verdict.js';
-import {quarantineOf, refuseQuarantined, type RequestQuarantine} from './request-quarantine.js';
+import {refuseQuarantined} from './request-quarantine.js';
 
 /** Number of broken connections after which a request is not sent again, unless its prompt is known to be sound. */
 const maxUnexplainedBreaks = 2;
@@ -24,11 +24,6 @@
 		return this._breaks > 0;
 	}
 
-	/** The quarantine that applies to the request now; undefined when it may be sent. */
-	get quarantine(): RequestQuarantine | undefined {
-		return quarantineOf(this._services.state(), this._services, this._admitted);
-	}
-
 	/** Whether another attempt is acceptable: the request has not met several broken connections, or its prompt is known to be sound. */
 	get mayRetry(): boolean {
 		return this._breaks < maxUnexplainedBreaks || this._services.crashes.isSound(this._suspect.parts);
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -24,6 +24,15 @@
 import {nullReleaseObserver} from './null-release-observer.js';
 import {type ServerRecord} from './server-pool.js';
 import {reportOpenRequest, type RequestReport, reportRequest} from './request-report.js';
+import {WriteCheck} from './write-check.js';
+
+/** What a run needs of the forwarder that admitted its request. */
+export interface RunHost {
+	/** Called once when the run has finished. */
+	onFinished(): void;
+	/** Admits the request again, of which nothing has been written; called after `onFinished`. */
+	readmit(): void;
+}
 
 /** Forwards one request from its admission to its final answer: attempts, retries, escalation, resumption and timeout. */
 export class ForwardRun implements EscalatingRequest {
@@ -37,6 +46,7 @@
 	private readonly _crashes: CrashGuard;
 	private readonly _handOver: HandOver;
 	private readonly _records: AttemptRecorder;
+	private readonly _check: WriteCheck;
 	/** Description of each attempt, for the log. */
 	private readonly _trail: string[] = [];
 	private _mayHaveRun = false;
@@ -48,7 +58,7 @@
 		private readonly _services: ForwardServices,
 		private readonly _admitted: AdmittedRequest,
 		private readonly _sink: CallerSink,
-		private readonly _onFinished: () => void,
+		private readonly _host: RunHost,
 	) {
 		const {req, route, arrivedAt} = _admitted;
 		this.startedAt = arrivedAt;
@@ -65,6 +75,7 @@
 		this.model = new RequestModel(_services, _admitted, this.startedAt, this.deadlineAt);
 		this._records = new AttemptRecorder(_services, _admitted, this.model, this._crashes);
 		this._escalation = new Escalation(_services, _admitted, this);
+		this._check = new WriteCheck(_services, _admitted, this.deadlineAt);
 	}
 
 	private get _remainingMs(): number {
@@ -100,7 +111,7 @@
 	}
 
 	takeRetry(): boolean {
-		return this._attempts.takeRetry();
+		return this._check.isAllowed && this._attempts.takeRetry();
 	}
 
 	/** Delivers the answer of an earlier attempt, as far as it has arrived, in place of the attempt in flight. */
@@ -128,6 +139,16 @@
 		this._trail.push(decision);
 	}
 
+	/** Handles a request that the configuration in force does not allow as it was admitted. */
+	private _readmitOrEnd(): void {
+		if (this._mayHaveRun || this._sink.isStarted || this._escalation.isHolding) {
+			this._endWithoutAnswer('configuration-changed');
+		} else {
+			this._finish('admitted-again');
+			this._host.readmit();
+		}
+	}
+
 	/** Sends the request to the best untried backend server. */
 	private _attempt(): void {
 		this._sendToBest(this._attempts.tried);
@@ -141,6 +162,11 @@
 			return;
 		}
 
+		if (!this._check.isAllowed) {
+			this._readmitOrEnd();
+			return;
+		}
+
 		const record = chooseServer(this._services, this._admitted, excluded);
 		const host = this._escalation.isHolding ? undefined : this._handOver.next(record);
 		if (host) {
@@ -191,7 +217,7 @@
 	/** Returns the handlers for the events of an attempt; they ignore events after the attempt or the request has finished. */
 	private _eventsOf(attempt: Attempt): AttemptEvents {
 		return guardedEvents(() => !attempt.isFinished && !this._isFinished, {
-			mayStart: () => this._services.lease.isValid() && attempt.record.accepts(this._services.clock.now()) && !this._crashes.quarantine,
+			mayStart: () => attempt.isHandedOver ? this._check.allowsHost(attempt.record) : this._check.allowsServer(attempt.record),
 			onHead: head => {
 				this._onHead(attempt, head);
 			},
@@ -320,7 +346,7 @@
 
 		this.abandon(attempt, reason);
 		this._attempts.withdraw();
-		if (!this._escalation.isHolding && this._attempts.hasTime) {
+		if (this._attempts.hasTime && (reason === withdrawnReason || !this._escalation.isHolding)) {
 			this._attempt();
 		} else {
 			this._endWithoutAnswer(reason);
@@ -435,7 +461,7 @@
 		this._timer?.dispose();
 		this._delivery.dispose();
 		reportRequest(this._services, this._admitted, {...this._report, outcome});
-		this._onFinished();
+		this._host.onFinished();
 	}
 
 	private get _report(): RequestReport {
--- a/src/common/forwarding/forwarder.ts
+++ b/src/common/forwarding/forwarder.ts
@@ -4,6 +4,7 @@
 import {type ForwardServices} from './forward-services.js';
 import {type CallerSink, type Refusal} from './caller-sink.js';
 import {ConfirmationQueue} from './confirmation-queue.js';
+import {findRoute, type FoundRoute} from './find-route.js';
 import {refuseQuarantined} from './request-quarantine.js';
 import {quarantinedRefusal, unconfirmedReason} from './router-refusals.js';
 import {type Customer, type Route} from './routing-config.js';
@@ -33,9 +34,6 @@
 	readonly arrivedAt: number;
 }
 
-/** The route of a request and the customer who sent it. */
-type FoundRoute = Pick<AdmittedRequest, 'route' | 'customer'>;
-
 /** A refusal, with what put the request under quarantine, for the log. */
 type LoggedRefusal = Refusal & {readonly part?: string | undefined; readonly digest?: string};
 
@@ -147,8 +145,13 @@
 			return;
 		}
 
-		const run = new ForwardRun(this._services, admitted, sink, () => {
-			this._runs.delete(run);
+		const run = new ForwardRun(this._services, admitted, sink, {
+			onFinished: () => {
+				this._runs.delete(run);
+			},
+			readmit: () => {
+				this._forward(arrived, true);
+			},
 		});
 		this._runs.add(run);
 		run.start();
@@ -177,15 +180,8 @@
 	}
 
 	/** Looks up the route and the customer of a request in the applied configuration. */
-	private _find({hostname, path, key}: ForwardRequest): FoundRoute | Refusal {
-		const table = this._services.state().table!;
-		const route = table.route(hostname, path);
-		if (!route) {
-			return {status: 404, code: 'no-route', ran: 'no'};
-		}
-
-		const customer = key === undefined ? undefined : table.customer(key);
-		return table.needsKeys && !route.isAnonymous && !customer ? {status: 401, code: 'unknown-key', ran: 'no'} : {route, customer};
+	private _find(req: ForwardRequest): FoundRoute | Refusal {
+		return findRoute(this._services.state().table!, req);
 	}
 
 	private _admit({req, arrivedAt}: WaitingRequest): AdmittedRequest | LoggedRefusal {
--- a/src/common/forwarding/peer-hosts.ts
+++ b/src/common/forwarding/peer-hosts.ts
@@ -27,6 +27,11 @@
 		return new Set([...this._peers.values()].map(({record}) => record.server.address));
 	}
 
+	/** Whether a host with this record is listed. */
+	has(record: ServerRecord): boolean {
+		return this._peers.get(record.server.id)?.record === record;
+	}
+
 	/** Replaces the hosts with those of the directory. */
 	update(hosts: Iterable<EntryHost>): void {
 		const known = new Map(this._peers);
--- a/src/common/forwarding/server-pool.ts
+++ b/src/common/forwarding/server-pool.ts
@@ -134,6 +134,12 @@
 		return (this._byService.get(service) ?? []).filter(({server, isLeaving}) => !server.isDraining && !isLeaving);
 	}
 
+	/** Whether a process may get new requests for a service: it is listed, and neither draining nor leaving. */
+	isOpen(service: string, record: ServerRecord): boolean {
+		const {server, key, isLeaving} = record;
+		return this._records.get(key) === record && !this._unlistedAt.has(key) && server.services.includes(service) && !server.isDraining && !isLeaving;
+	}
+
 	private _dropUnlisted(now: number): void {
 		for (const [key, since] of this._unlistedAt) {
 			if (now - since < unlistedRetentionMs && this._unlistedAt.size <= maxUnlisted) {
--- a/src/common/forwarding/servers-for-release.ts
+++ b/src/common/forwarding/servers-for-release.ts
@@ -32,15 +32,27 @@
 		return others;
 	}
 
-	const isInShare = hashString(session.key, rollout.revision) % shareSteps < rollout.share * shareSteps;
-	const staysOnOldRelease = rollout.holdsSessions && session.isSticky;
-	if (!isInShare || staysOnOldRelease || target.length === 0) {
+	if (!getsTarget(rollout, session) || target.length === 0) {
 		return others;
 	}
 
 	return rollout.share < 1 ? trialServers(rollout, target, others.length, now) : target;
 }
 
+/** Whether a request of the session may still run on the release of a server that was chosen for it. */
+export function mayRunRelease(rollout: ServiceRollout, session: RequestSession, release: string | undefined): boolean {
+	if (release !== rollout.target) {
+		return !isRejected(rollout, release);
+	}
+
+	return rollout.state === serviceRolloutState.completed || (rollout.state === serviceRolloutState.inProgress && getsTarget(rollout, session));
+}
+
+/** Whether a roll-out in progress assigns the session to the new release. */
+function getsTarget({revision, share, holdsSessions}: ServiceRollout, {key, isSticky}: RequestSession): boolean {
+	return hashString(key, revision) % shareSteps < share * shareSteps && !(holdsSessions && isSticky);
+}
+
 /**
 Returns the servers of the new release that take part in its trial: so many that each of them gets as many requests as a
 server of the previous release. All hosts choose the same ones, as long as these are available.
--- a/src/testing/forwarder-fixture.ts
+++ b/src/testing/forwarder-fixture.ts
@@ -4,6 +4,7 @@
 import {SeededRandom} from '../common/base/seeded-random.js';
 import {type BackendServer} from '../common/control/backend-server.js';
 import {type ConfigLease} from '../common/control/config-lease.js';
+import {type ServiceRollout} from '../common/control/service-rollout.js';
 import {RetryBudget} from '../common/entry/retry-budget.js';
 import {type CrashObserver} from '../common/forwarding/crash-observer.js';
 import {type ForwardServices, type Reach} from '../common/forwarding/forward-services.js';
@@ -93,7 +94,13 @@
 	const lease = {
 		expiresAt: 100_000, currentUntil: Infinity, isSuperseded: false, isValid: () => lease.expiresAt > clock.now(),
 	};
-	let table = testTable([route], [{name: 'shop', keys: ['key'], priority: 1}]);
+	let table: RouteTable | undefined = testTable([route], [{name: 'shop', keys: ['key'], priority: 1}]);
+	const rollouts = new Map<string, ServiceRollout>();
+	/** Replaces the configuration; undefined when it cannot be read. */
+	const replaceTable = (changed: RouteTable | undefined) => {
+		table = changed;
+	};
+
 	/** Applies a configuration with further routes and keys. */
 	const apply = (routes: ReadonlyArray<Partial<Route>>, keys: readonly string[] = []) => {
 		table = testTable([route, ...routes.map(other => ({...route, ...other}))], [{name: 'shop', keys: ['key', ...keys], priority: 1}]);
@@ -109,7 +116,7 @@
 	const crashes: CrashObserver = {...nullCrashes};
 	const forwarder = createTestForwarder({
 		clock, lease, random, pool, port, crashes, counters, logger, confirmConfiguration: () => confirmationsAsked.push(clock.now()), budget: () => budget, state: () => ({
-			table, rollouts: new Map(), quarantinedParts, quarantinedRequests, hostCount: 1, hostIndex: 0,
+			table, rollouts, quarantinedParts, quarantinedRequests, hostCount: 1, hostIndex: 0,
 		}),
 	});
 	const send = (req: Partial<ForwardRequest> = {}) => {
@@ -123,6 +130,6 @@
 	};
 
 	return {
-		clock, pool, port, lease, forwarder, send, budget, quarantinedParts, quarantinedRequests, crashes, apply, confirmationsAsked, counters, logger,
+		clock, pool, port, lease, forwarder, send, budget, quarantinedParts, quarantinedRequests, crashes, apply, replaceTable, route, rollouts, confirmationsAsked, counters, logger,
 	};
 }
