Queue requests in the host while all connections to their servers are in use

Cause: the choice did not look at the connections in use, and the queue of the HTTP client belongs to one address.

`PlaceQueue` holds the requests of a service in the order of their arrival while all servers that may take them have all connections of this host in use. They are tried when an attempt ends, when the servers or the configuration change, and each 100 ms (pauses and ejections end without an event). The server is chosen when there is a connection, so that the choice and the deadline are those of the write. Servers without a free connection are left out after the release and the health of servers have been looked at, so that a full service sends nothing to the wrong release or to a failing server. A request whose time ends in the queue is refused as not run (it was answered 504). The queue holds 1,000 requests of a service; it had no bound. Queueing, choosing and refusing need no network in the tests.

--- a/src/common/forwarding/attempt-terms.ts
+++ b/src/common/forwarding/attempt-terms.ts
@@ -36,7 +36,7 @@
 }
 
 /** Connection limit of this host to one backend server of a service: its share of the connections that the server accepts. */
-function maxConnectionsOf({state}: ForwardServices, service: string): number {
+export function maxConnectionsOf({state}: Pick<ForwardServices, 'state'>, service: string): number {
 	const {table, hostCount} = state();
 	const connections = table?.services.get(service)?.maxConnections ?? 1;
 	return Math.max(1, Math.floor(connections * connectionShare / Math.max(1, hostCount)));
--- a/src/common/forwarding/attempt.ts
+++ b/src/common/forwarding/attempt.ts
@@ -20,7 +20,15 @@
 	private _bufferedBytes = 0;
 	private _isFinished = false;
 
-	constructor(readonly record: ServerRecord, readonly model: string | undefined, readonly sentAt: number, readonly evidence: AttemptEvidence, readonly isHandedOver = false) {
+	constructor(
+		readonly record: ServerRecord,
+		readonly model: string | undefined,
+		readonly sentAt: number,
+		readonly evidence: AttemptEvidence,
+		readonly isHandedOver = false,
+		/** Called when the attempt is no longer in flight. */
+		private readonly _onFinished: () => void = () => undefined,
+	) {
 		record.inFlight++;
 		record.health.recordSent(sentAt);
 	}
@@ -68,6 +76,7 @@
 			this._isFinished = true;
 			this.record.inFlight--;
 			this.evidence.finish();
+			this._onFinished();
 		}
 	}
 
--- a/src/common/forwarding/choose-server.ts
+++ b/src/common/forwarding/choose-server.ts
@@ -1,6 +1,8 @@
+import {maxConnectionsOf} from './attempt-terms.js';
 import {type AdmittedRequest} from './forwarder.js';
 import {type ForwardRequest} from './forward-request.js';
 import {type ForwardServices} from './forward-services.js';
+import {preferred} from './placement.js';
 import {sessionOf} from './request-session.js';
 import {type LimitShare} from './request-limit.js';
 import {serversForRelease} from './servers-for-release.js';
@@ -15,25 +17,43 @@
 	return {wallTime: clock.wallTime(), hostCount, hostIndex};
 }
 
-/** Chooses the backend server of an attempt: neither leaving nor in a pause, not tried, within its request limit, and of the release that a roll-out assigns to the session. */
-export function chooseServer({pool, placement, state, sessions, clock, zone}: ForwardServices, {req, service}: AdmittedRequest, tried: ReadonlySet<string>): ServerRecord | undefined {
+/** The server chosen for an attempt. */
+export interface ServerChoice {
+	/** Undefined when no server may take the request now. */
+	readonly record: ServerRecord | undefined;
+	/** Whether the only reason is that all connections of this host to the servers that may take it are in use. */
+	readonly isFull: boolean;
+}
+
+/**
+Chooses the backend server of an attempt: neither leaving nor in a pause, not tried, within its request limit, of the release that
+a roll-out assigns to the session, and with a free connection.
+*/
+export function chooseServer(services: ForwardServices, {req, service}: AdmittedRequest, tried: ReadonlySet<string>): ServerChoice {
+	const {pool, placement, state, sessions, clock, zone} = services;
 	const parts = req.generation?.parts ?? [];
 	const rollout = state().rollouts.get(service);
 	const session = sessionOf({sessions}, {req});
 	const share = limitShare({clock, state});
 	const now = clock.now();
 	const untried = pool.notDraining(service).filter(record => !tried.has(record.key) && record.accepts(now) && record.allows(share, now));
-	const candidates = serversForRelease(rollout, session, untried, now);
+	const candidates = preferred(serversForRelease(rollout, session, untried, now), now);
+	const maxConnections = maxConnectionsOf(services, service);
+	const free = candidates.filter(({inFlight}) => inFlight < maxConnections);
+	if (free.length === 0) {
+		return {record: undefined, isFull: candidates.length > 0};
+	}
+
 	// The last part belongs to this request, its session or its subject alone. The part before it stands for the longest prefix shared with other requests.
 	const affinityKey = parts.at(-2)?.id ?? parts[0]?.id;
 	const record = placement.choose({
 		service, affinityKey, subjectKey: parts.at(-1)?.id, work: workOf(req), zone,
-	}, candidates, now);
+	}, free, now);
 	if (record && req.session !== undefined && record.server.release !== rollout?.target) {
 		sessions.recordRequest(req.session);
 	}
 
-	return record;
+	return {record, isFull: false};
 }
 
 /** Expected work of a request, in the unit of a prompt token. */
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -52,6 +52,8 @@
 	private _mayHaveRun = false;
 	private _current: Attempt | undefined;
 	private _timer: Disposable | undefined;
+	/** Place of the request in the queue for a connection. */
+	private _wait: Disposable | undefined;
 	private _isFinished = false;
 
 	constructor(
@@ -116,6 +118,7 @@
 
 	/** Delivers the answer of an earlier attempt, as far as it has arrived, in place of the attempt in flight. */
 	deliver(earlier: Attempt): void {
+		this._wait?.dispose();
 		if (this._current && this._current !== earlier && !this._current.isFinished) {
 			this.model.recordFirstEvent(this._current);
 			this._current.evidence.recordSilence(this._services.clock.now());
@@ -156,45 +159,72 @@
 
 	/** Sends the request to the best backend server, except the given ones, or to another entry host when the servers cannot be reached. */
 	private _sendToBest(excluded: ReadonlySet<string>): void {
+		if (!this._trySend(excluded)) {
+			this._waitForPlace(excluded);
+		}
+	}
+
+	/** Sends the request like `_sendToBest`, or ends it. @returns false when all connections to the servers that may take it are in use. */
+	private _trySend(excluded: ReadonlySet<string>): boolean {
 		const refusal = this._crashes.refuse();
 		if (refusal !== undefined) {
 			this._endWithoutAnswer(refusal);
-			return;
+			return true;
 		}
 
 		if (!this._check.isAllowed) {
 			this._readmitOrEnd();
-			return;
+			return true;
 		}
 
-		const record = chooseServer(this._services, this._admitted, excluded);
-		const host = this._escalation.isHolding ? undefined : this._handOver.next(record);
+		// The lease may have expired since the request was admitted.
+		if (!this._services.lease.isValid()) {
+			this._endWithoutAnswer('lease-expired');
+			return true;
+		}
+
+		const {record, isFull} = chooseServer(this._services, this._admitted, excluded);
+		const host = this._escalation.isHolding ? undefined : this._handOver.next(record !== undefined || isFull);
 		if (host) {
 			this._send(host, true);
 		} else if (this._handOver.isLost) {
 			this._endWithoutAnswer(serversUnreachableReason);
 		} else if (record) {
 			this._send(record, false);
+		} else if (isFull) {
+			return false;
 		} else {
 			this._endWithoutAnswer('no-server');
 		}
+
+		return true;
 	}
 
-	private _send(record: ServerRecord, isHandedOver: boolean): void {
-		const {clock, lease, port, peerPort, observer, counters} = this._services;
-		// Checks the lease as late as possible: it may have expired since the request was admitted.
-		if (!lease.isValid()) {
-			this._endWithoutAnswer('lease-expired');
-			return;
+	/** Waits until a server that may take the request has a free connection. */
+	private _waitForPlace(excluded: ReadonlySet<string>): void {
+		const {places, counters, logger} = this._services;
+		const {service, req} = this._admitted;
+		this._current = undefined;
+		this._wait = places.add(service, () => this._trySend(excluded));
+		if (this._wait) {
+			counters.increment('forward.waited-for-connection', 1, {service});
+			logger.info({req: req.id, service, waiting: places.size}, 'request waits for a connection to a server');
+		} else {
+			this._endWithoutAnswer('too-many-waiting');
 		}
+	}
 
+	private _send(record: ServerRecord, isHandedOver: boolean): void {
+		const {clock, port, peerPort, observer, counters, places} = this._services;
 		const {service, route, req} = this._admitted;
 		const now = clock.now();
 		record.recordSent(limitShare(this._services), now);
 		const model = isHandedOver ? undefined : this.model.name;
 		const attempt = new Attempt(record, model, now, new AttemptEvidence(isHandedOver ? nullReleaseObserver : observer, {
 			service, route: route.name, record, model: model ?? req.generation?.model,
-		}, now), isHandedOver);
+		}, now), isHandedOver, () => {
+			places.release(service);
+		});
 		const {left} = this._attempts;
 		this._current = attempt;
 		this._attempts.add(record.key);
@@ -452,6 +482,7 @@
 			return;
 		}
 
+		this._wait?.dispose();
 		this._escalation.drop(outcome);
 		if (this._current && !this._current.isFinished) {
 			this.abandon(this._current, outcome);
--- a/src/common/forwarding/forward-services.ts
+++ b/src/common/forwarding/forward-services.ts
@@ -9,6 +9,7 @@
 import {type ModelPolicy} from './model-policy.js';
 import {type ModelSpeeds} from './model-speeds.js';
 import {type PeerHosts} from './peer-hosts.js';
+import {type PlaceQueue} from './place-queue.js';
 import {type Placement} from './placement.js';
 import {type ReleaseObserver} from './release-observer.js';
 import {type RequestDigest} from './request-digest.js';
@@ -67,6 +68,8 @@
 	readonly peers: PeerHosts;
 	readonly reach: Reach;
 	readonly placement: Placement;
+	/** Requests that wait for a connection to a server. */
+	readonly places: PlaceQueue;
 	readonly models: ModelPolicy;
 	readonly speeds: ModelSpeeds;
 	readonly observer: ReleaseObserver;
--- a/src/common/forwarding/hand-over.ts
+++ b/src/common/forwarding/hand-over.ts
@@ -27,10 +27,10 @@
 		this._unreached++;
 	}
 
-	/** Returns the host to hand the request over to; undefined when it is not due, or when no host is left. `server` is the server that it would be sent to otherwise. */
-	next(server: ServerRecord | undefined): ServerRecord | undefined {
+	/** Returns the host to hand the request over to; undefined when it is not due, or when no host is left. `hasServer` tells whether a server can take it otherwise, now or later. */
+	next(hasServer: boolean): ServerRecord | undefined {
 		const {peers, clock, random} = this._services;
-		const isDue = this.isLost || this._unreached >= maxUnreached || (server === undefined && this._unreached > 0);
+		const isDue = this.isLost || this._unreached >= maxUnreached || (!hasServer && this._unreached > 0);
 		if (!isDue || this._admitted.req.attemptsLeft !== undefined || this._offered.size >= maxHosts) {
 			return undefined;
 		}
--- /dev/null
+++ b/src/common/forwarding/place-queue.ts
@@ -0,0 +1,110 @@
+import {type Clock} from '../base/clock.js';
+import {type Disposable} from '../base/disposable.js';
+
+/** Maximum number of requests of a service that wait; further requests are refused. */
+const maxWaiting = 1000;
+/** Number of requests that may stay blocked at one release, so that a long queue costs little for each place. */
+const maxBlocked = 8;
+/** Interval in milliseconds at which the waiting requests are tried without a release: pauses and ejections of servers end without an event. */
+const retryIntervalMs = 100;
+
+/** Tries to place a request. @returns whether its wait is over: it was placed or has ended. */
+export type TryPlace = () => boolean;
+
+/** Queues requests, by service and in the order of their arrival, while all servers that may take them have all their connections in use. */
+export class PlaceQueue implements Disposable {
+	private readonly _waiting = new Map<string, Set<TryPlace>>();
+	/** Services whose queue is being released; the value tells whether to go through it again. */
+	private readonly _releasing = new Map<string, boolean>();
+	private _timer: Disposable | undefined;
+
+	constructor(private readonly _clock: Clock) {}
+
+	/** Number of waiting requests. */
+	get size(): number {
+		let size = 0;
+		for (const waiting of this._waiting.values()) {
+			size += waiting.size;
+		}
+
+		return size;
+	}
+
+	/** Adds a request, which is tried whenever a place may be free. @returns its place in the queue; undefined when the queue is full. */
+	add(service: string, tryPlace: TryPlace): Disposable | undefined {
+		let waiting = this._waiting.get(service);
+		if (!waiting) {
+			waiting = new Set();
+			this._waiting.set(service, waiting);
+		}
+
+		if (waiting.size >= maxWaiting) {
+			return undefined;
+		}
+
+		waiting.add(tryPlace);
+		this._schedule();
+		return {
+			dispose: () => {
+				this._remove(service, tryPlace);
+			},
+		};
+	}
+
+	/** Places requests of a service; called when a connection to one of its servers is free. */
+	release(service: string): void {
+		if (this._releasing.has(service)) {
+			this._releasing.set(service, true);
+			return;
+		}
+
+		try {
+			do {
+				this._releasing.set(service, false);
+				this._releaseOnce(service);
+			} while (this._releasing.get(service));
+		} finally {
+			this._releasing.delete(service);
+		}
+	}
+
+	/** Places requests of all services; called when the servers or the configuration have changed. */
+	releaseAll(): void {
+		for (const service of this._waiting.keys()) {
+			this.release(service);
+		}
+	}
+
+	dispose(): void {
+		this._timer?.dispose();
+	}
+
+	private _releaseOnce(service: string): void {
+		let blocked = 0;
+		for (const tryPlace of this._waiting.get(service) ?? []) {
+			if (tryPlace()) {
+				this._remove(service, tryPlace);
+			} else if (++blocked >= maxBlocked) {
+				return;
+			}
+		}
+	}
+
+	private _remove(service: string, tryPlace: TryPlace): void {
+		const waiting = this._waiting.get(service);
+		waiting?.delete(tryPlace);
+		if (waiting?.size === 0) {
+			this._waiting.delete(service);
+		}
+	}
+
+	private _schedule(): void {
+		this._timer ??= this._clock.setTimer(retryIntervalMs, () => {
+			this._timer = undefined;
+			this.releaseAll();
+			if (this._waiting.size > 0) {
+				this._schedule();
+			}
+		});
+	}
+}
--- a/src/common/forwarding/placement.ts
+++ b/src/common/forwarding/placement.ts
@@ -110,7 +110,7 @@
 }
 
 /** Returns the healthy servers that did not report an overload recently, else all healthy ones, else all. */
-function preferred(candidates: readonly ServerRecord[], now: number): readonly ServerRecord[] {
+export function preferred(candidates: readonly ServerRecord[], now: number): readonly ServerRecord[] {
 	const healthy = candidates.filter(({health}) => health.isAvailable(now));
 	const ready = healthy.filter(({overloadedUntil}) => overloadedUntil <= now);
 	return ready.length > 0 ? ready : (healthy.length > 0 ? healthy : candidates);
--- a/src/common/host/forward-host.ts
+++ b/src/common/host/forward-host.ts
@@ -21,6 +21,7 @@
 import {LoadAwareCascade} from '../forwarding/load-aware-cascade.js';
 import {ModelSpeeds} from '../forwarding/model-speeds.js';
 import {CrashRecorder} from '../crashes/crash-recorder.js';
+import {PlaceQueue} from '../forwarding/place-queue.js';
 import {AffinityPlacement} from '../forwarding/placement.js';
 import {PeerHosts} from '../forwarding/peer-hosts.js';
 import {ServerReach} from '../forwarding/server-reach.js';
@@ -72,6 +73,7 @@
 	readonly follower: ControlFollower;
 	private readonly _store = new DisposableStore();
 	private readonly _pool = new ServerPool();
+	private readonly _places: PlaceQueue;
 	private readonly _peers: PeerHosts;
 	private readonly _voters: KnownVoters;
 	private readonly _recorder: ReleaseRecorder;
@@ -89,6 +91,7 @@
 		} = _options;
 		this._voters = new KnownVoters(seeds);
 		this._peers = new PeerHosts(entry.host);
+		this._places = this._store.add(new PlaceQueue(clock));
 		this.follower = this._store.add(new ControlFollower({..._options, voters: () => this._voters.hosts, sections: []}));
 		this._recorder = this._store.add(new ReleaseRecorder(service => {
 			const rollout = this.follower.view.serviceRollouts.get(service);
@@ -105,6 +108,7 @@
 		this._store.add(this.follower.addSection(crashes));
 		this._store.add(this.follower.onRevision(() => {
 			this._applyRevision();
+			this._places.releaseAll();
 		}));
 		this._store.add(this.follower.onLeaseGained(() => {
 			logger.info({revision: this.follower.applied}, 'lease gained');
@@ -135,6 +139,7 @@
 				clock, logger, counters, addresses, pool: this._pool, random: () => random.next(),
 			})),
 			placement: new AffinityPlacement(random.fork('placement')),
+			places: this._places,
 			speeds: new ModelSpeeds(),
 			models: new LoadAwareCascade(acceptedConfidence, latencyMargin),
 			observer: this._recorder,
--- a/src/testing/forwarder-fixture.ts
+++ b/src/testing/forwarder-fixture.ts
@@ -14,6 +14,7 @@
 import {nullReleaseObserver} from '../common/forwarding/null-release-observer.js';
 import {PeerHosts} from '../common/forwarding/peer-hosts.js';
 import {ModelSpeeds} from '../common/forwarding/model-speeds.js';
+import {PlaceQueue} from '../common/forwarding/place-queue.js';
 import {AffinityPlacement} from '../common/forwarding/placement.js';
 import {type RequestDigest} from '../common/forwarding/request-digest.js';
 import {RouteTable} from '../common/forwarding/route-table.js';
@@ -77,7 +78,7 @@
 	random, observer = nullReleaseObserver, crashes = nullCrashes, reach = nullReach, peers = new PeerHosts('self'), peerPort = new ScriptedPort(), counters = nullCounters, confirmConfiguration = () => undefined, configurationBoundMs = 2000, logger = nullLogger, ...options
 }: TestForwarderOptions): Forwarder {
 	return new Forwarder({
-		...options, observer, crashes, reach, peers, peerPort, counters, confirmConfiguration, configurationBoundMs, digests: testDigests, zone: 'z', logger, placement: new AffinityPlacement(random), speeds: new ModelSpeeds(), models: new LoadAwareCascade(60, 1), sessions: {recordRequest: () => undefined, isSticky: () => false}, random: () => random.next(),
+		...options, observer, crashes, reach, peers, peerPort, counters, confirmConfiguration, configurationBoundMs, digests: testDigests, zone: 'z', logger, placement: new AffinityPlacement(random), places: new PlaceQueue(options.clock), speeds: new ModelSpeeds(), models: new LoadAwareCascade(60, 1), sessions: {recordRequest: () => undefined, isSticky: () => false}, random: () => random.next(),
 	});
 }
 
