--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -4,6 +4,9 @@
 import process from 'node:process';
 import {build} from 'esbuild';
 
+/** Folder for the bundle. */
+const folder = process.argv[2] ?? 'target';
+
 // V8 rejects a code cache that was created under different flags, so these must match the flags in deploy/system.toml.
 const flags = ['--max-old-space-size=200', '--max-semi-space-size=4'];
 
@@ -28,7 +31,7 @@
 
 await build({
 	entryPoints: ['platform/main.ts'],
-	outfile: 'target/platform.cjs',
+	outfile: `${folder}/platform.cjs`,
 	bundle: true,
 	minifySyntax: true,
 	minifyWhitespace: true,
@@ -41,5 +44,5 @@
 	legalComments: 'none',
 	external: ['dtrace-provider', 'mv', 'safe-json-stringify', 'unix-dgram'],
 });
-copyFileSync('deploy/start.cjs', 'target/start.cjs');
-execFileSync(process.execPath, [...flags, 'target/start.cjs', 'make-cache'], {stdio: 'inherit'});
+copyFileSync('deploy/start.cjs', `${folder}/start.cjs`);
+execFileSync(process.execPath, [...flags, `${folder}/start.cjs`, 'make-cache'], {stdio: 'inherit'});
--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -1,6 +1,6 @@
 // Runs the bundle with its code cache. `start.cjs make-cache` creates the cache.
 'use strict';
-const {readFileSync, writeFileSync} = require('node:fs');
+const {readFileSync, writeFileSync, writeSync} = require('node:fs');
 const path = require('node:path');
 const process = require('node:process');
 const {Script} = require('node:vm');
@@ -21,18 +21,30 @@
 	}
 }
 
-const script = new Script(`(function (exports, require, module, __filename, __dirname) {${readFileSync(bundle, 'utf8')}\n})`, {
-	filename: bundle,
-	cachedData: isMakingCache ? undefined : readCache(),
-});
-if (script.cachedDataRejected) {
-	process.stderr.write(`${JSON.stringify({msg: 'code cache rejected by this Node.js version or its flags, startup is slower'})}\n`);
+function run() {
+	const script = new Script(`(function (exports, require, module, __filename, __dirname) {${readFileSync(bundle, 'utf8')}\n})`, {
+		filename: bundle,
+		cachedData: isMakingCache ? undefined : readCache(),
+	});
+	if (script.cachedDataRejected) {
+		process.stderr.write(`${JSON.stringify({msg: 'code cache rejected by this Node.js version or its flags, startup is slower'})}\n`);
+	}
+
+	const bundled = {exports: {}};
+	script.runInThisContext()(bundled.exports, require, bundled, bundle, __dirname);
+	if (isMakingCache) {
+		writeFileSync(cache, script.createCachedData());
+	} else {
+		bundled.exports.main(process.argv.slice(2));
+	}
 }
 
-const bundled = {exports: {}};
-script.runInThisContext()(bundled.exports, require, bundled, bundle, __dirname);
-if (isMakingCache) {
-	writeFileSync(cache, script.createCachedData());
-} else {
-	bundled.exports.main(process.argv.slice(2));
+try {
+	run();
+} catch (error) {
+	// Until the program has taken over, nothing else tells why the process ends.
+	writeSync(1, `${JSON.stringify({
+		name: `catkinbeam-${process.argv[2]}`, time: new Date().toISOString(), cause: 'failed start', code: 1, err: {message: String(error), stack: error?.stack}, msg: 'process ends',
+	})}\n`);
+	process.exit(1); // eslint-disable-line unicorn/no-process-exit -- the program that the platform starts
 }
