Restart the member in place when the disk refuses any operation but a sync

A control host ended when its disk refused an operation with another error than a full disk (EIO, EROFS, a folder that cannot be created, a file that cannot be read), at its start and later, and again at each start until the disk was sound. Callers and operators saw a process that ends by itself. Only a failed sync makes it unknown what is durable; every other refused operation leaves the synced data unchanged, as a full disk does. The supervisor now starts the member again from its storage: without a limit after a full disk, as before, otherwise for up to 10 s. A failed sync and damaged storage stay fatal.

Ruled out: that an end helps after a refused write; the next process reads the same files.

--- a/src/common/host/control-host-supervisor.ts
+++ b/src/common/host/control-host-supervisor.ts
@@ -11,12 +11,17 @@
 /** Time in milliseconds until a member whose disk is full restarts; by then an operator or a compaction may have freed space. */
 const retryMs = 1000;
 
-/** Error codes of the operating system for a refused write that left the synced data unchanged. */
-const refusedWriteCodes: ReadonlySet<string> = new Set(['ENOSPC', 'EDQUOT']);
+/** Time in milliseconds for which a start is tried whose storage fails other than by a full disk. */
+const startLimitMs = 10_000;
+
+/** Error codes of the operating system for a full disk, which leaves the synced data unchanged. */
+const fullDiskCodes: ReadonlySet<string> = new Set(['ENOSPC', 'EDQUOT']);
+/** System calls that make data durable. It is unknown what a failed one left on the disk. */
+const syncCalls: ReadonlySet<string> = new Set(['fsync', 'fdatasync']);
 
 /**
-Restarts a control host from its storage when the disk refuses writes, until the disk accepts writes again. Any other storage
-failure is fatal, because it is unknown what a failed sync left on the disk.
+Restarts a control host from its storage when the disk refuses an operation, until the disk accepts it again. Damaged storage and
+a failed sync are fatal, because it is unknown what is on the disk then.
 */
 export class ControlHostSupervisor implements Disposable {
 	private _host: ControlHost | undefined;
@@ -39,19 +44,20 @@
 		return this._host;
 	}
 
-	/** Starts the host; retries after refused writes. @throws any other error of the start. */
+	/** Starts the host; retries after refused operations, without a limit only when the disk is full. @throws any other error of the start. */
 	async start(): Promise<void> {
+		const end = this._clock.now() + startLimitMs;
 		while (!this._isDisposed) {
 			try {
 				this._host = await this._start(); // eslint-disable-line no-await-in-loop -- attempts follow each other
 				this._watch(this._host);
 				return;
 			} catch (error) {
-				if (!isRefusedWrite(error)) {
+				if (!isDiskFull(error) && (!isRefused(error) || this._clock.now() >= end)) {
 					throw error;
 				}
 
-				this._logger.warn({err: error, retryMs}, 'the disk takes no writes, the member starts again later');
+				this._logger.warn({err: error, retryMs}, 'the disk refuses an operation, the member starts again later');
 				await sleep(this._clock, retryMs); // eslint-disable-line no-await-in-loop -- waits between attempts
 			}
 		}
@@ -70,7 +76,7 @@
 
 	private _watch(host: ControlHost): void {
 		host.onFatal(error => {
-			if (isRefusedWrite(error)) {
+			if (isDiskFull(error) || isRefused(error)) {
 				void this._restart(host, error);
 			} else {
 				this._onFatal.fire(error);
@@ -80,7 +86,7 @@
 
 	private async _restart(host: ControlHost, cause: AppError): Promise<void> {
 		this._host = undefined;
-		this._logger.warn({err: cause, retryMs}, 'the disk takes no writes, the member starts again later');
+		this._logger.warn({err: cause, retryMs}, 'the disk refuses an operation, the member starts again later');
 		try {
 			await host.close();
 			await sleep(this._clock, retryMs);
@@ -92,10 +98,21 @@
 	}
 }
 
-/** Whether an error was caused by a refused write. */
-function isRefusedWrite(error: unknown): boolean {
+type SystemError = {readonly code?: string; readonly syscall?: string};
+
+/** Whether an error was caused by a full disk. */
+function isDiskFull(error: unknown): boolean {
+	return hasCause(error, ({code}) => code !== undefined && fullDiskCodes.has(code));
+}
+
+/** Whether an error was caused by an operation that the operating system refused, other than a sync. */
+function isRefused(error: unknown): boolean {
+	return hasCause(error, ({syscall}) => syscall !== undefined && !syncCalls.has(syscall));
+}
+
+function hasCause(error: unknown, test: (cause: SystemError) => boolean): boolean {
 	for (let cause = error; cause instanceof Error; cause = cause.cause) {
-		if (refusedWriteCodes.has((cause as {code?: string}).code ?? '')) {
+		if (test(cause as SystemError)) {
 			return true;
 		}
 	}
