Wait for what a start needs, and answer what was read before a stop during it

A program ended when it could not start at once: an address still held by the process before it, the port of its metrics in use (for good where the port range begins with it), settings that are empty, half-written or missing for a moment. A stop signal during the start ended the process without an answer to requests that it had read: its handler was installed only after all listeners were open.

Cause: each step of the start was tried once, the metrics were a step, and the signals came last. Now the signals come in the first statement of the program and the stop handler before the first listener; each step is repeated for up to 10 s with one line; the metrics are opened beside the start. Before the first connection a stop signal ends the process at once, afterwards it leads to a planned stop. An error of a connection that cannot be accepted is logged and no longer uncaught.

Not mended: for the 25 to 37 ms in which Node.js itself starts (measured to the first statement, beside other load), the default action of a signal is in force.

--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -1,13 +1,15 @@
 // Runs the bundle with its code cache. `start.cjs make-cache` creates the cache.
 'use strict';
+const process = require('node:process'); // eslint-disable-line import-x/order -- the signals come first
+
+// Before anything else: without a listener, a signal ends the process. The program gets both signals as soon as it is loaded.
+process.on('SIGHUP', () => undefined);
+process.on('SIGTERM', () => undefined);
+
 const {readFileSync, writeFileSync, writeSync} = require('node:fs');
 const path = require('node:path');
-const process = require('node:process');
 const {Script} = require('node:vm');
 
-// A request to reload the settings must not end a process that is still loading; it reads them afterwards.
-process.on('SIGHUP', () => undefined);
-
 const bundle = path.join(__dirname, 'platform.cjs');
 const cache = path.join(__dirname, 'platform.cache');
 const isMakingCache = process.argv[2] === 'make-cache';
--- a/src/daemon/caller-server.ts
+++ b/src/daemon/caller-server.ts
@@ -4,12 +4,15 @@
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {type Disposable} from '../common/base/disposable.js';
+import {Emitter} from '../common/base/emitter.js';
+import {type Event} from '../common/base/event.js';
 import {type Refusal} from '../common/forwarding/caller-sink.js';
 import {type ForwardRequest} from '../common/forwarding/forward-request.js';
 import {type Forwarder} from '../common/forwarding/forwarder.js';
 import {type CallerLimits} from '../common/forwarding/routing-config.js';
 import {type CallerCodec} from './caller-codec.js';
 import {HttpCallerSink} from './http-caller-sink.js';
+import {listen} from './listen.js';
 import {type ListenAddress} from './listen-address.js';
 
 /** Largest request head in bytes that the HTTP parser accepts; the configured limit is checked afterwards. */
@@ -25,6 +28,7 @@
 /** HTTP server that reads requests of callers and passes them to the forwarder. */
 export class CallerServer implements Disposable {
 	private readonly _server: Server;
+	private readonly _onError = new Emitter<Error>();
 	private _limits: CallerLimits | undefined;
 	private _isDraining = false;
 	private _isClosed = false;
@@ -51,11 +55,17 @@
 		return this._active;
 	}
 
-	/** Starts to listen. @returns the port. */
+	/** Raised when a connection cannot be accepted. */
+	get onError(): Event<Error> {
+		return this._onError.event;
+	}
+
+	/** Starts to listen; a failed attempt may be repeated. @returns the port. */
 	async listen({host, port}: ListenAddress): Promise<number> {
-		await new Promise<void>((resolve, reject) => {
-			this._server.once('error', reject);
-			this._server.listen(port, host, resolve);
+		await listen(this._server, {host, port});
+		// Without a listener, an error of a connection that cannot be accepted ends the process.
+		this._server.on('error', error => {
+			this._onError.fire(error);
 		});
 		return (this._server.address() as AddressInfo).port;
 	}
