--- a/src/common/consensus/snapshot-files.ts
+++ b/src/common/consensus/snapshot-files.ts
@@ -8,12 +8,44 @@
 const encoder = new TextEncoder();
 const decoder = new TextDecoder();
 
-/** Snapshot files in one folder. Each has two frames: metadata (index, term and members) and state. */
+/**
+Snapshot files in one folder. Each has two frames: metadata (index, term and members) and state. Operations follow each other,
+because a member may take a snapshot while it receives one from the leader or sends one.
+*/
 export class SnapshotFiles {
+	/** The operation that was requested last. */
+	private _latest: Promise<unknown> = Promise.resolve();
+
 	constructor(private readonly _disk: Disk) {}
 
 	/** Stores a snapshot; removes earlier ones once it is durable under its final name. */
 	async save(snapshot: Snapshot): Promise<void> {
+		return this._afterOthers(async () => this._save(snapshot));
+	}
+
+	/** Reads the latest snapshot. @throws LogCorruptError if it is damaged. */
+	async read(): Promise<Snapshot | undefined> {
+		return this._afterOthers(async () => this._read());
+	}
+
+	/** Removes temporary files that an earlier process left unfinished. */
+	async removeTemporary(): Promise<void> {
+		const names = await this._names();
+		await Promise.all(names.filter(file => file.endsWith(temporarySuffix)).map(async file => this._disk.remove(file)));
+	}
+
+	private async _afterOthers<T>(operation: () => Promise<T>): Promise<T> {
+		const others = this._latest;
+		const running = (async () => {
+			await others;
+			return operation();
+		})();
+		// The caller gets the error; the next operation runs in any case.
+		this._latest = running.catch(() => undefined).then(() => undefined); // eslint-disable-line promise/prefer-await-to-then -- the outcome is awaited by the caller
+		return running;
+	}
+
+	private async _save(snapshot: Snapshot): Promise<void> {
 		const {state, ...head} = snapshot;
 		const name = `${prefix}${String(snapshot.index).padStart(15, '0')}`;
 		const temporary = `${name}${temporarySuffix}`;
@@ -28,8 +60,7 @@
 		await this._removeEarlier(name);
 	}
 
-	/** Reads the latest snapshot. @throws LogCorruptError if it is damaged. */
-	async read(): Promise<Snapshot | undefined> {
+	private async _read(): Promise<Snapshot | undefined> {
 		const names = await this._names();
 		const name = names.findLast(file => !file.endsWith(temporarySuffix));
 		if (!name) {
@@ -46,12 +77,6 @@
 		return {...JSON.parse(decoder.decode(head.payload)) as Omit<Snapshot, 'state'>, state: decoder.decode(state.payload)};
 	}
 
-	/** Removes temporary files that an earlier process left unfinished. */
-	async removeTemporary(): Promise<void> {
-		const names = await this._names();
-		await Promise.all(names.filter(file => file.endsWith(temporarySuffix)).map(async file => this._disk.remove(file)));
-	}
-
 	private async _removeEarlier(kept: string): Promise<void> {
 		const names = await this._names();
 		await Promise.all(names.filter(file => file < kept).map(async file => this._disk.remove(file)));
--- a/src/node/file-log-storage.test.ts
+++ b/src/node/file-log-storage.test.ts
@@ -38,3 +38,24 @@
 	expect(await readdir(logFolder)).toHaveLength(2);
 	await expect(reopened.write({term: 2, commitIndex: 0, entries: []})).rejects.toMatchObject({code: 'storage-failed'});
 });
+
+// Guards against a control host that ends because it takes a snapshot while it receives one from the leader or sends one.
+it('saves and reads snapshots at the same time', async () => {
+	const folder = await mkdtemp(path.join(tmpdir(), 'catkinbeam-'));
+	try {
+		const storage = await openFileLogStorage(folder);
+		await storage.load();
+		await storage.initialize('a');
+		for (let index = 0; index < 40; index += 4) {
+			const save = async (offset: number, size: number) => storage.saveSnapshot({
+				index: index + offset, term: 1, members: [], state: 'x'.repeat(size),
+			});
+			await Promise.all([save(1, 4_000_000), save(2, 400_000), storage.readSnapshot(), save(3, 10), storage.readSnapshot()]); // eslint-disable-line no-await-in-loop -- one round after the other
+			expect(await storage.readSnapshot()).toMatchObject({index: index + 3}); // eslint-disable-line no-await-in-loop -- as above
+		}
+
+		await storage.close();
+	} finally {
+		await rm(folder, {recursive: true, force: true});
+	}
+});
