Split streams in time that follows the bytes, not the chunks

Cause: EventSplitter.push copied the whole remainder at each chunk and searched all of it backwards for a blank line, so that the work grew with the square of the remainder. Its verdict also depended on the chunks: a blank line straight after an event, an event of a little more than 64 KiB, or comments after an event were treated in another way when they arrived in other pieces (the new property found a comment behind an event, passed on at once or held).

Ruled out: the parser of the HTTP client alone; with the splitter replaced, the same streams no longer block the host.

Fix: BlankLineFinder looks at each byte once and remembers what has arrived of the current line; incomplete blocks are kept in a ByteBuffer, which copies small pieces into blocks that are at most twice as large as what they hold. Each block is judged when it is complete, so that the result is that of single bytes whatever the pieces: an event may have 65,537 bytes with its end, comments are held until an event or the end follows.

--- a/src/common/forwarding/event-splitter.ts
+++ b/src/common/forwarding/event-splitter.ts
@@ -1,5 +1,7 @@
-const lineFeed = 10;
-const carriageReturn = 13;
+import {ByteBuffer} from '../base/byte-buffer.js';
+import {joinBytes} from '../base/join-bytes.js';
+import {BlankLineFinder} from './blank-line-finder.js';
+
 /** Maximum number of bytes before the end of an event; more are taken for bytes that are no answer. */
 const maxEventBytes = 64 * 1024;
 
@@ -20,28 +22,34 @@
 
 const decoder = new TextDecoder();
 const noEvents: EventBatch = {completeEvents: undefined, lastId: undefined, count: 0};
-const eventEnd = /\r?\n\r?\n/v;
 const idLine = /^id:\s*(?<id>\d+)\s*$/mv;
 /** A block without an event: comments, by which a server keeps the connection open, and the time after which to reconnect. */
 const noEventBlock = /^(?:(?::|retry:)[^\n]*(?:\n|$)|\s)*$/v;
+/** Length in bytes of the longest blank line; a block that is not longer has no other line. */
+const maxBlankLineBytes = 2;
 
 /**
 Splits a stream into complete events and buffers the remainder. A stream that breaks inside an event can then resume at
 another backend server without a partial or duplicate event. Checks that the IDs of the events increase.
+
+Its results, work and memory follow the bytes, and not the chunks in which they arrive.
 */
 export class EventSplitter {
-	private _remainder: Uint8Array = new Uint8Array(0);
-	private _held: Uint8Array = new Uint8Array(0);
+	/** The beginning of a block that is not complete. */
+	private readonly _remainder = new ByteBuffer();
+	/** Complete blocks without an event. */
+	private readonly _held = new ByteBuffer();
+	private readonly _blankLines = new BlankLineFinder();
 	private _lastId: number | undefined;
 
 	/** Bytes of an incomplete event. */
 	get remainder(): Uint8Array {
-		return this._remainder;
+		return joinBytes(this._remainder.blocks);
 	}
 
 	/** Blocks without an event since the last event; they belong to the answer if an event or its end follows. */
 	get held(): Uint8Array {
-		return this._held;
+		return joinBytes(this._held.blocks);
 	}
 
 	/** ID of the last complete event; undefined before the first one. */
@@ -55,59 +63,66 @@
 	}
 
 	push(chunk: Uint8Array): EventBatch {
-		const bytes = this._remainder.length === 0 ? chunk : concat(this._remainder, chunk);
-		const end = endOfLastEvent(bytes);
-		this._remainder = bytes.subarray(end);
-		if (this._held.length + this._remainder.length > maxEventBytes) {
-			return {...noEvents, problem: 'event-too-long'};
+		let count = 0;
+		let heldBytes = this._held.length;
+		let eventsEnd = 0;
+		let from = 0;
+		for (let end = this._blankLines.next(chunk, 0); end > 0; end = this._blankLines.next(chunk, end)) {
+			const earlier = from === 0 ? this._remainder.blocks : [];
+			const block = joinBytes([...earlier, chunk.subarray(from, end)]);
+			// A block is complete with its last byte, so it may have one more.
+			if (heldBytes + block.length > maxEventBytes + 1) {
+				return {...noEvents, problem: 'event-too-long'};
+			}
+
+			const result = this._read(block);
+			if (typeof result === 'string') {
+				return {...noEvents, problem: result};
+			}
+
+			from = end;
+			if (result) {
+				count++;
+				heldBytes = 0;
+				eventsEnd = end;
+			} else {
+				heldBytes += block.length;
+			}
 		}
 
-		if (end === 0) {
-			return noEvents;
+		let batch = noEvents;
+		if (count > 0) {
+			batch = {completeEvents: joinBytes([...this._held.takeBlocks(), ...this._remainder.takeBlocks(), chunk.subarray(0, eventsEnd)]), lastId: this._lastId, count};
 		}
 
-		const blocks = bytes.subarray(0, end);
-		let count = 0;
-		for (const block of decoder.decode(blocks).split(eventEnd)) {
-			const id = idLine.exec(block)?.groups?.id;
-			if (id === undefined) {
-				if (!noEventBlock.test(block)) {
-					return {...noEvents, problem: 'not-an-event'};
-				}
-			} else if (this._lastId !== undefined && Number(id) <= this._lastId) {
-				return {...noEvents, problem: 'event-out-of-order'};
-			} else {
-				this._lastId = Number(id);
-				count++;
+		if (from > eventsEnd) {
+			// Without an event, the blocks only keep the connection open.
+			for (const bytes of [...this._remainder.takeBlocks(), chunk.subarray(eventsEnd, from)]) {
+				this._held.push(bytes);
 			}
 		}
 
-		const completeEvents = this._held.length === 0 ? blocks : concat(this._held, blocks);
-		// Without an event, the bytes only keep the connection open.
-		this._held = count === 0 ? completeEvents : new Uint8Array(0);
-		return count === 0 ? noEvents : {completeEvents, lastId: this._lastId, count};
+		this._remainder.push(chunk.subarray(from));
+		return this._held.length + this._remainder.length > maxEventBytes ? {...noEvents, problem: 'event-too-long'} : batch;
 	}
-}
 
-/** Offset after the last blank line; a blank line ends an event. */
-function endOfLastEvent(bytes: Uint8Array): number {
-	for (let at = bytes.length - 1; at > 0; at--) {
-		if (bytes[at] !== lineFeed) {
-			continue;
+	/** Reads a complete block. @returns whether it is an event, or why the stream is not valid. */
+	private _read(block: Uint8Array): boolean | StreamProblem {
+		if (block.length <= maxBlankLineBytes) {
+			return false;
 		}
 
-		const before = bytes[at - 1];
-		if (before === lineFeed || (before === carriageReturn && bytes[at - 2] === lineFeed)) {
-			return at + 1;
+		const text = decoder.decode(block);
+		const id = idLine.exec(text)?.groups?.id;
+		if (id === undefined) {
+			return noEventBlock.test(text) ? false : 'not-an-event';
 		}
-	}
 
-	return 0;
-}
+		if (this._lastId !== undefined && Number(id) <= this._lastId) {
+			return 'event-out-of-order';
+		}
 
-function concat(first: Uint8Array, second: Uint8Array): Uint8Array {
-	const joined = new Uint8Array(first.length + second.length);
-	joined.set(first);
-	joined.set(second, first.length);
-	return joined;
+		this._lastId = Number(id);
+		return true;
+	}
 }
