Hold the bytes of peers in memory that follows the bytes, not the pieces

Two request bodies of 3,000,000 chunks of one byte end an entry host, and a valid configuration of 1.1 MB in chunks of one byte ends all control hosts.

Cause: the HTTP parsers raise an event for each chunk, and seven places kept an object for each: answers that wait for their end or are held for a larger model (Attempt), bodies of requests (CallerServer) and of calls (readBody), replies between hosts (PeerExchange), failures of engines (EngineHttpExchange), bodies of the emulator. An object takes about a hundred times the memory of one byte, so the limits in bytes limited nothing. SseParser joined its line again at each piece: one line of 512 KiB in single bytes took 128 s.

Ruled out: pieces of 64 bytes and more, which held little more than their bytes before.

Fix: all of them collect into a ByteBuffer, which copies small pieces and has at most twice the memory of its bytes. SseParser looks for line ends in the new bytes only; its limit is 4 MiB in place of 4 Mi characters.

--- a/src/common/forwarding/attempt.ts
+++ b/src/common/forwarding/attempt.ts
@@ -1,3 +1,4 @@
+import {ByteBuffer} from '../base/byte-buffer.js';
 import {type AttemptEvidence} from './attempt-evidence.js';
 import {type AttemptHandle} from './backend-port.js';
 import {EventSplitter} from './event-splitter.js';
@@ -16,8 +17,7 @@
 	/** Whether the answer ended while it was held back. */
 	hasEnded = false;
 	readonly splitter = new EventSplitter();
-	private readonly _bufferedChunks: Uint8Array[] = [];
-	private _bufferedBytes = 0;
+	private readonly _buffer = new ByteBuffer();
 	private _isFinished = false;
 
 	constructor(
@@ -38,20 +38,19 @@
 		return this._isFinished;
 	}
 
-	/** Chunks of an answer that is sent to the caller only once it is complete. */
+	/** Parts of an answer that is sent to the caller only once it is complete. */
 	get bufferedChunks(): readonly Uint8Array[] {
-		return this._bufferedChunks;
+		return this._buffer.blocks;
 	}
 
 	get bufferedBytes(): number {
-		return this._bufferedBytes;
+		return this._buffer.length;
 	}
 
 	/** Buffers a chunk. @returns whether the answer is still short enough to be buffered. */
 	buffer(chunk: Uint8Array): boolean {
-		this._bufferedChunks.push(chunk);
-		this._bufferedBytes += chunk.length;
-		return this._bufferedBytes <= maxBufferedBytes;
+		this._buffer.push(chunk);
+		return this._buffer.length <= maxBufferedBytes;
 	}
 
 	/** Records for the health of the server whether it failed this attempt. */
@@ -64,10 +63,9 @@
 		return Math.max(this.sentAt, this.headAt ?? -Infinity) <= time && !this.splitter.hasEvents;
 	}
 
-	/** Removes and returns the buffered chunks. */
+	/** Removes and returns the buffered parts. */
 	takeBuffered(): readonly Uint8Array[] {
-		this._bufferedBytes = 0;
-		return this._bufferedChunks.splice(0);
+		return this._buffer.takeBlocks();
 	}
 
 	/** Marks the attempt as finished. */
--- a/src/daemon/caller-server.ts
+++ b/src/daemon/caller-server.ts
@@ -1,8 +1,8 @@
-import {Buffer} from 'node:buffer';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
+import {ByteBuffer} from '../common/base/byte-buffer.js';
 import {type Disposable} from '../common/base/disposable.js';
 import {Emitter} from '../common/base/emitter.js';
 import {type Event} from '../common/base/event.js';
@@ -116,7 +116,7 @@
 			return;
 		}
 
-		const chunks: Uint8Array[] = [];
+		const body = new ByteBuffer();
 		let size = 0;
 		let isRefused = false;
 		const refuseBody = () => {
@@ -142,11 +142,11 @@
 				return;
 			}
 
-			chunks.push(chunk);
+			body.push(chunk);
 		});
 		req.once('end', () => {
 			if (!isRefused) {
-				this._forward(req, sink, size === 0 ? undefined : (chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)));
+				this._forward(req, sink, size === 0 ? undefined : body.take());
 			}
 		});
 	}
--- a/src/daemon/read-body.ts
+++ b/src/daemon/read-body.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
+import {ByteBuffer} from '../common/base/byte-buffer.js';
 import {RefusalError} from '../common/entry/refusal-error.js';
 
 /**
@@ -9,8 +10,7 @@
 */
 export async function readBody(req: IncomingMessage, maxBytes: number, encoding: BufferEncoding = 'utf8'): Promise<string> {
 	return new Promise((resolve, reject) => {
-		const chunks: Uint8Array[] = [];
-		let size = 0;
+		const body = new ByteBuffer();
 		const removeListeners = () => {
 			req.off('data', onData);
 			req.off('end', onEnd);
@@ -19,19 +19,19 @@
 		};
 
 		const onData = (chunk: Uint8Array) => {
-			size += chunk.length;
-			if (size > maxBytes) {
+			if (body.length + chunk.length > maxBytes) {
 				removeListeners();
 				reject(new RefusalError('body-too-large', `The body has more than ${maxBytes} bytes.`, {status: 413}));
 				return;
 			}
 
-			chunks.push(chunk);
+			body.push(chunk);
 		};
 
 		const onEnd = () => {
 			removeListeners();
-			resolve((chunks.length === 1 ? Buffer.from(chunks[0]!.buffer, chunks[0]!.byteOffset, size) : Buffer.concat(chunks)).toString(encoding));
+			const bytes = body.take();
+			resolve(Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length).toString(encoding));
 		};
 
 		const onAbort = () => {
--- a/src/emulator/http-listener.ts
+++ b/src/emulator/http-listener.ts
@@ -3,6 +3,7 @@
 	createServer, type IncomingMessage, type RequestListener, type Server,
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
+import {ByteBuffer} from '../common/base/byte-buffer.js';
 import {type Disposable} from '../common/base/disposable.js';
 
 /** An HTTP server on loopback. */
@@ -29,10 +30,10 @@
 
 /** Reads a body and parses it as JSON. An empty body gives null. */
 export async function readJson(req: IncomingMessage): Promise<unknown> {
-	const chunks: Uint8Array[] = [];
+	const body = new ByteBuffer();
 	for await (const chunk of req) {
-		chunks.push(chunk as Uint8Array);
+		body.push(chunk as Uint8Array);
 	}
 
-	return JSON.parse(Buffer.concat(chunks).toString() || 'null');
+	return JSON.parse(Buffer.from(body.take()).toString() || 'null');
 }
--- a/src/node/engine-http-exchange.ts
+++ b/src/node/engine-http-exchange.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingHttpHeaders} from 'node:http';
 import {type Dispatcher} from 'undici';
+import {ByteBuffer} from '../common/base/byte-buffer.js';
 import {type EngineAnswer, type EngineCall} from '../common/entry/engine-client.js';
 import {EngineError} from '../common/entry/engine-error.js';
 import {executionStatus} from '../common/entry/execution-status.js';
@@ -19,7 +20,7 @@
 	private _reject!: (error: Error) => void;
 	private _controller: Dispatcher.DispatchController | undefined;
 	private _stream: EngineAnswerStream | undefined;
-	private _refusal: {status: number; ranHeader: string | undefined; bytes: Uint8Array[]; size: number} | undefined;
+	private _refusal: {status: number; ranHeader: string | undefined; body: ByteBuffer} | undefined;
 	private _isCancelled = false;
 	private readonly _cancel: () => void;
 
@@ -55,7 +56,7 @@
 
 		if (statusCode !== 200) {
 			this._refusal = {
-				status: statusCode, ranHeader: singleValue(headers[engineHeaders.ran]), bytes: [], size: 0,
+				status: statusCode, ranHeader: singleValue(headers[engineHeaders.ran]), body: new ByteBuffer(),
 			};
 			return;
 		}
@@ -72,10 +73,7 @@
 
 	onResponseData(controller: Dispatcher.DispatchController, bytes: Uint8Array): void {
 		if (this._refusal) {
-			if (this._refusal.size < maxRefusalBytes) {
-				this._refusal.size += bytes.length;
-				this._refusal.bytes.push(bytes);
-			}
+			this._refusal.body.push(bytes.subarray(0, maxRefusalBytes - this._refusal.body.length));
 
 			return;
 		}
@@ -134,9 +132,9 @@
 }
 
 /** A refused request certainly did not run if the engine says so, or if it refuses with 429 or 503 (overload) without saying whether it ran. */
-function refusalError({status, ranHeader, bytes}: {status: number; ranHeader: string | undefined; bytes: Uint8Array[]}): EngineError {
+function refusalError({status, ranHeader, body}: {status: number; ranHeader: string | undefined; body: ByteBuffer}): EngineError {
 	const isNotRun = ranHeader === executionStatus.no || (ranHeader === undefined && (status === 429 || status === 503));
 	return isNotRun
 		? new EngineError('refused', `the engine refused with status ${status}`, executionStatus.no)
-		: new EngineError('engine-failed', `the engine failed with status ${status}: ${Buffer.concat(bytes).toString('utf8').slice(0, 200)}`, ranHeader === executionStatus.yes ? executionStatus.yes : executionStatus.unknown);
+		: new EngineError('engine-failed', `the engine failed with status ${status}: ${Buffer.from(body.take()).toString('utf8').slice(0, 200)}`, ranHeader === executionStatus.yes ? executionStatus.yes : executionStatus.unknown);
 }
--- a/src/node/peer-exchange.ts
+++ b/src/node/peer-exchange.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {type Dispatcher} from 'undici';
+import {ByteBuffer} from '../common/base/byte-buffer.js';
 import {PeerTimeoutError, PeerUnreachableError} from '../common/base/peer-errors.js';
 import {isConnectError} from './connect-error.js';
 
@@ -16,7 +17,7 @@
 	private _reject!: (error: Error) => void;
 	private _controller: Dispatcher.DispatchController | undefined;
 	private _status = 0;
-	private readonly _chunks: Uint8Array[] = [];
+	private readonly _reply = new ByteBuffer();
 	private readonly _timer: NodeJS.Timeout;
 	private _isFinished = false;
 
@@ -46,13 +47,14 @@
 	}
 
 	onResponseData(_controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
-		this._chunks.push(chunk);
+		this._reply.push(chunk);
 	}
 
 	onResponseEnd(): void {
 		this._finish();
 		if (this._status === 200) {
-			this._resolve(Buffer.concat(this._chunks).toString('utf8'));
+			const bytes = this._reply.take();
+			this._resolve(Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length).toString('utf8'));
 		} else {
 			this._reject(new PeerUnreachableError(`${this._peer} refused the call with status ${this._status}`));
 		}
--- a/src/node/sse-parser.ts
+++ b/src/node/sse-parser.ts
@@ -1,32 +1,37 @@
-import {StringDecoder} from 'node:string_decoder';
+import {Buffer} from 'node:buffer';
+import {ByteBuffer} from '../common/base/byte-buffer.js';
 
-/** Maximum length of an event in characters; a longer one means a broken stream and must not fill the memory. */
-const maxEventCharacters = 4 * 1024 * 1024;
+const lineFeed = 10;
+/** Maximum length of an event in bytes; a longer one means a broken stream and must not fill the memory. */
+const maxEventBytes = 4 * 1024 * 1024;
 
-/** Splits a byte stream into the data of its server-sent events. */
+/** Splits a byte stream into the data of its server-sent events. Its work and memory follow the bytes, and not the pieces in which they arrive. */
 export class SseParser {
-	private readonly _decoder = new StringDecoder('utf8');
-	private _partialLine = '';
+	private readonly _partialLine = new ByteBuffer();
 
 	/**
 	Parses the next bytes. @returns the data of the events that are now complete.
 
-	@throws RangeError when an event exceeds 4 Mi characters.
+	@throws RangeError when an event exceeds 4 MiB.
 	*/
 	push(bytes: Uint8Array): string[] {
-		const lines = (this._partialLine + this._decoder.write(bytes)).split('\n');
-		this._partialLine = lines.pop()!;
-		if (this._partialLine.length > maxEventCharacters) {
-			throw new RangeError('a server-sent event exceeds 4 Mi characters');
-		}
-
 		const found: string[] = [];
-		for (const line of lines) {
+		let from = 0;
+		for (let end = bytes.indexOf(lineFeed); end !== -1; end = bytes.indexOf(lineFeed, from)) {
+			this._partialLine.push(bytes.subarray(from, end));
+			from = end + 1;
+			const taken = this._partialLine.take();
+			const line = Buffer.from(taken.buffer, taken.byteOffset, taken.length).toString('utf8');
 			if (line.startsWith('data:')) {
 				found.push(line.slice(5).trim());
 			}
 		}
 
+		this._partialLine.push(bytes.subarray(from));
+		if (this._partialLine.length > maxEventBytes) {
+			throw new RangeError('a server-sent event exceeds 4 MiB');
+		}
+
 		return found;
 	}
 }
