Keep a process alive whose storage cannot be closed

When a disk refuses a write, the member closes its storage and is started again. If the disk then refuses the close as well, the rejection was handled nowhere and ended the process. It is logged now; what is synced stays valid, and the next load reads it.

--- a/src/common/consensus/log-member.test.ts
+++ b/src/common/consensus/log-member.test.ts
@@ -214,3 +214,42 @@
 	await cluster.clock.advance(2000);
 	expect(await outcomes[0]).toBe('proposal-unknown');
 });
+
+// Guards against a process that ends because the disk that refused a write also refuses to close the file.
+it('stops, and restarts from its disk, when its storage cannot be closed', async () => {
+	let faulty: string | undefined;
+	create(3, {
+		wrapStorage: (host, storage) => ({
+			load: async () => storage.load(),
+			initialize: async identity => storage.initialize(identity),
+			saveSnapshot: async snapshot => storage.saveSnapshot(snapshot),
+			readSnapshot: async () => storage.readSnapshot(),
+			discardUpTo: async index => storage.discardUpTo(index),
+			async write(batch) {
+				if (host === faulty) {
+					throw new Error('EIO, write');
+				}
+
+				return storage.write(batch);
+			},
+			async close() {
+				await storage.close();
+				if (host === faulty) {
+					throw new Error('EIO, close');
+				}
+			},
+		}),
+	});
+	const {name} = await cluster.bootstrap();
+	faulty = name;
+	const lost = cluster.outcomeOf(async () => cluster.host(name).member!.propose('x'));
+	await cluster.clock.advance(100);
+	expect(cluster.host(name).fatal).toBe('storage-failed');
+	await expect(cluster.host(name).member!.close()).resolves.toBeUndefined();
+	faulty = undefined;
+	cluster.kill(name);
+	await cluster.start(name);
+	await cluster.waitForLeader(3000);
+	expect(await lost).toBeTypeOf('string');
+	expect(await cluster.propose('y')).toBeTypeOf('number');
+});
--- a/src/common/consensus/log-member.ts
+++ b/src/common/consensus/log-member.ts
@@ -180,7 +180,7 @@
 	/** Stops the member and waits for pending writes to its storage. */
 	async close(): Promise<void> {
 		this.dispose();
-		await this._options.storage.close();
+		await this._closeStorage();
 	}
 
 	/** Stops the member without waiting for its storage; synced data is kept. */
@@ -189,7 +189,17 @@
 		this._handleRoleChange();
 		this._disposables.dispose();
 		this._proposals.failAll();
-		void this._options.storage.close();
+		void this._closeStorage();
+	}
+
+	/** What is synced is kept even if the files cannot be closed, which a faulty disk may refuse. */
+	private async _closeStorage(): Promise<void> {
+		const {storage, logger, group} = this._options;
+		try {
+			await storage.close();
+		} catch (error) {
+			logger.warn({group, err: error}, 'storage cannot be closed');
+		}
 	}
 
 	private _connect(): void {
