Close no connection of a caller under an answer at a planned stop

Callers of a stopping entry host lost answers in three ways, all reproduced: an answer that has ended but waits for a slow reader was cut when the host closed its idle connections (Node.js counts it as idle: 3.9 of 32 MB arrived); of requests that a caller sent at once around the stop, those after the first were passed on to servers and never answered, because each of their answers was set to close the connection; answers whose head was not sent yet at the stop kept their connections open until the exit cut them. Beside a stop, requests behind an unfinished one on a connection that its caller reset were never aborted and counted as in flight for good, so that the next stop lasted to the end of its grace time.

The host now knows the unfinished answers of each connection: only the last one closes it, a request that can get no answer is not passed on, and only connections without an unfinished answer or a request that is being read are closed at the stop.

Ruled out: the exit itself; the host exits only after the last byte of each answer was handed to the kernel, which sends it.

--- a/src/daemon/caller-server.ts
+++ b/src/daemon/caller-server.ts
@@ -11,6 +11,7 @@
 import {type Forwarder} from '../common/forwarding/forwarder.js';
 import {type CallerLimits} from '../common/forwarding/routing-config.js';
 import {type CallerCodec} from './caller-codec.js';
+import {CallerConnections} from './caller-connections.js';
 import {HttpCallerSink} from './http-caller-sink.js';
 import {listen} from './listen.js';
 import {type ListenAddress} from './listen-address.js';
@@ -28,24 +29,27 @@
 /** HTTP server that reads requests of callers and passes them to the forwarder. */
 export class CallerServer implements Disposable {
 	private readonly _server: Server;
+	private readonly _connections: CallerConnections;
 	private readonly _onError = new Emitter<Error>();
 	private _limits: CallerLimits | undefined;
-	private _isDraining = false;
 	private _isClosed = false;
 	private _active = 0;
 
 	constructor(private readonly _forwarder: Forwarder, private readonly _codec: CallerCodec) {
 		this._server = createServer({maxHeaderSize: parserHeaderBytes}, (req, res) => {
+			if (!this._connections.add(req.socket, res)) {
+				// The caller was told that the connection closes and sends the request again elsewhere.
+				req.resume();
+				return;
+			}
+
 			this._active++;
 			res.once('close', () => {
 				this._active--;
 			});
-			if (this._isDraining) {
-				res.setHeader('connection', 'close');
-			}
-
 			this._receive(req, res);
 		});
+		this._connections = new CallerConnections(this._server);
 		// Each route has its own timeout.
 		this._server.requestTimeout = 0;
 	}
@@ -79,14 +83,13 @@
 
 	/** Makes further responses ask callers to close their connections. */
 	drain(): void {
-		this._isDraining = true;
+		this._connections.drain();
 	}
 
 	/** Accepts no new connections, closes idle ones, and refuses new requests on the remaining ones. */
 	close(): void {
 		this._isClosed = true;
-		this._server.close();
-		this._server.closeIdleConnections();
+		this._connections.close();
 	}
 
 	/** Logs the requests in flight, which the end of the process cuts off. */
