Tell a reset connection from the end of its answer, and survive both while a caller does not read

Callers saw streams without a length end as complete although their server had reset them; and an entry host ended by itself (an uncaught assertion of the HTTP client) when a server closed or reset the connection of an answer while its caller did not read.

The port worked around it by marking all close-delimited attempts of the address as broken, which cut answers of other connections, and knew close-delimited answers by missing headers only, so that one with a transfer coding other than chunks was not covered. And the client calls `parser.finish()` on the end or the reset of a connection also while the parser is paused, where it asserts that it is not; the assertion is thrown in an event handler of the socket, so nothing catches it. It needs an answer on a connection that is not kept (no length, or `connection: close`) and a caller with backpressure.

Now each connection reports what happened to it: a reset reaches the client under another error code, so it fails exactly the request on that connection; and the end of a connection is not reported with its last bytes but with the next read, which a paused parser does not make. The client also reports zero bytes when it resumes; these reach no reader, because a pause there would never end. `timedConnector` does the first two for all its users.

Ruled out: answers in chunks or with a length on kept connections, which the client reports as errors.

--- a/src/node/http-backend-port.ts
+++ b/src/node/http-backend-port.ts
@@ -15,24 +15,16 @@
 /** Time in milliseconds for which an idle connection is kept, unless the backend server states another time. */
 const idleTimeoutMs = 10_000;
 
-/** Connection pool of one address. */
-type Target = {
-	readonly pool: Pool;
-	/** Attempts whose answer is delimited by the close of its connection. */
-	readonly closeDelimited: Set<HttpAttempt>;
-};
-
 /** Sends attempts over persistent HTTP connections, with one pool per address. */
 export class HttpBackendPort implements BackendPort, Disposable {
-	private readonly _targets = new Map<string, Target>();
+	private readonly _pools = new Map<string, Pool>();
 
 	constructor(private readonly _codec: BackendCodec, private readonly _logger: Logger) {}
 
 	send(message: ForwardMessage, terms: AttemptTerms, events: AttemptEvents): AttemptHandle {
-		const {pool, closeDelimited} = this._target(terms);
-		const attempt = new HttpAttempt(this._codec, terms, events, closeDelimited);
+		const attempt = new HttpAttempt(this._codec, terms, events);
 		try {
-			pool.dispatch({
+			this._pool(terms).dispatch({
 				method: message.method,
 				path: message.target,
 				headers: this._codec.encodeHeaders(message, terms),
@@ -52,38 +44,36 @@
 
 	/** Closes the connections to all other addresses after their requests in flight have ended. */
 	retain(addresses: ReadonlySet<string>): void {
-		for (const [address, {pool}] of this._targets) {
+		for (const [address, pool] of this._pools) {
 			if (!addresses.has(address)) {
-				this._targets.delete(address);
+				this._pools.delete(address);
 				void this._close(address, pool);
 			}
 		}
 	}
 
 	dispose(): void {
-		for (const {pool} of this._targets.values()) {
+		for (const pool of this._pools.values()) {
 			void pool.destroy();
 		}
 
-		this._targets.clear();
+		this._pools.clear();
 	}
 
-	private _target({address, maxConnections}: AttemptTerms): Target {
-		let target = this._targets.get(address);
-		if (!target) {
-			const closeDelimited = new Set<HttpAttempt>();
-			const pool = new Pool(`http://${address}`, {
+	private _pool({address, maxConnections}: AttemptTerms): Pool {
+		let pool = this._pools.get(address);
+		if (!pool) {
+			pool = new Pool(`http://${address}`, {
 				connections: maxConnections,
 				pipelining: 1,
-				connect: connectorFor(closeDelimited),
+				connect: closingConnector(),
 				keepAliveTimeout: idleTimeoutMs,
 				allowH2: false,
 			});
-			target = {pool, closeDelimited};
-			this._targets.set(address, target);
+			this._pools.set(address, pool);
 		}
 
-		return target;
+		return pool;
 	}
 
 	private async _close(address: string, pool: Pool): Promise<void> {
@@ -98,26 +88,15 @@
 /** Code of the error with which the HTTP client closes a connection itself. */
 const clientClosedCode = 'UND_ERR_INFO';
 
-/** A connection that this host closed because its request was aborted. */
-class AbortedConnectionError extends Error {}
-
 /**
-Creates a connector that detects resets of close-delimited answers: the HTTP client takes a reset for the normal end of
-such an answer. The connector cannot tell to which answer the reset connection belongs, so all close-delimited answers
-from the address count as broken.
+Creates a connector whose connections stay closed. The HTTP client opens a new one in place of one that it closed to abort a
+request, because it treats errors with its own code as if the request were still to be sent.
 */
-function connectorFor(closeDelimited: ReadonlySet<HttpAttempt>): buildConnector.connector {
+function closingConnector(): buildConnector.connector {
 	const connectWithin = timedConnector(connectTimeoutMs);
 	return (options, callback) => {
 		connectWithin(options, (...result) => {
 			const [, socket] = result;
-			socket?.once('error', (error: Error) => {
-				if (!(error instanceof AbortedConnectionError)) {
-					for (const attempt of closeDelimited) {
-						attempt.markReset();
-					}
-				}
-			});
 			if (socket) {
 				closeForGood(socket);
 			}
@@ -127,36 +106,25 @@
 	};
 }
 
-/**
-Keeps the HTTP client from opening a new connection in place of one that it closed to abort a request: it treats errors with
-its own code as if the request were still to be sent.
-*/
 function closeForGood(socket: Socket): void {
 	const destroy = socket.destroy.bind(socket);
-	socket.destroy = (error?: Error) => destroy((error as {code?: string} | undefined)?.code === clientClosedCode ? new AbortedConnectionError(error!.message) : error);
+	socket.destroy = (error?: Error) => destroy((error as {code?: string} | undefined)?.code === clientClosedCode ? new Error(error!.message) : error);
 }
 
 /** One attempt, driven by the events of the HTTP client. */
 class HttpAttempt implements AttemptHandle, Dispatcher.DispatchHandler {
 	private _controller: Dispatcher.DispatchController | undefined;
 	private _isFinished = false;
-	private _isReset = false;
 
 	constructor(
 		private readonly _codec: BackendCodec,
 		private readonly _terms: AttemptTerms,
 		private readonly _events: AttemptEvents,
-		private readonly _closeDelimited: Set<HttpAttempt>,
 	) {}
 
-	/** Records that a connection that may belong to this attempt was reset. */
-	markReset(): void {
-		this._isReset = true;
-	}
-
 	abort(): void {
 		if (!this._isFinished) {
-			this._finish();
+			this._isFinished = true;
 			this._controller?.abort(new Error('the attempt was aborted'));
 		}
 	}
@@ -176,44 +144,30 @@
 
 	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
 		if (!this._isFinished && status >= 200) {
-			if (headers['content-length'] === undefined && headers['transfer-encoding'] === undefined) {
-				this._closeDelimited.add(this);
-			}
-
 			this._events.onHead(this._codec.decodeHead(status, headers, this._terms.requestId));
 		}
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
-		if (!this._isFinished && !this._events.onData(chunk)) {
+		// The client reports no bytes when it resumes; a pause at that point would never end.
+		if (!this._isFinished && chunk.length > 0 && !this._events.onData(chunk)) {
 			controller.pause();
 		}
 	}
 
 	onResponseEnd(): void {
-		if (this._isFinished) {
-			return;
-		}
-
-		this._finish();
-		if (this._isReset) {
-			this._events.onFailure({isUnsent: false, reason: 'reset-at-the-end'});
-		} else {
+		if (!this._isFinished) {
+			this._isFinished = true;
 			this._events.onEnd();
 		}
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController | undefined, error: Error): void {
 		if (!this._isFinished) {
-			this._finish();
-			const {code, message} = error as {code?: string; message: string};
+			this._isFinished = true;
+			const {code, message} = (error.cause ?? error) as {code?: string; message: string};
 			// Before `onRequestStart` the client has no connection, so nothing was written.
 			this._events.onFailure({isUnsent: this._controller === undefined, reason: code ?? message});
 		}
 	}
-
-	private _finish(): void {
-		this._isFinished = true;
-		this._closeDelimited.delete(this);
-	}
 }
--- a/src/node/timed-connector.ts
+++ b/src/node/timed-connector.ts
@@ -1,12 +1,13 @@
 import {type Socket} from 'node:net';
 import {buildConnector, errors} from 'undici';
+import {reportEndsStrictly} from './strict-socket.js';
 
 /** A connector of the HTTP client; its type omits the socket that it returns. */
 type SocketConnector = (...args: Parameters<buildConnector.connector>) => Socket;
 
 /**
 Creates a connector whose timeout is exact. The connect timeout of the HTTP client has a resolution of half a second, so that one
-of 500 ms may last 1000 ms.
+of 500 ms may last 1000 ms. Its connections report their ends strictly.
 */
 export function timedConnector(timeoutMs: number): buildConnector.connector {
 	const connect = buildConnector({timeout: 0}) as unknown as SocketConnector;
@@ -15,6 +16,7 @@
 			clearTimeout(timer);
 			callback(...result);
 		});
+		reportEndsStrictly(socket);
 		const timer = setTimeout(() => {
 			socket.destroy(new errors.ConnectTimeoutError(`no connection to ${options.hostname}:${options.port} within ${timeoutMs} ms`));
 		}, timeoutMs);
