Never take the framing of a caller's answer from its server, and end it visibly when it is not complete

Callers saw streams without a length and without chunks end as complete after some of their events: after a reset by the server, at the time of the route or of the caller, without a retry left, and when the host stopped. On resumable routes a stream whose second answer had no length never completed.

Cause: `AnswerRelay.begin` passed an answer without a length on as one that ends with its connection, and every other end of such an answer closes the connection regularly too: `HttpCallerSink.destroy` sends FIN, and so does the kernel when the process exits with the answer open.

`CallerSink.writeHead` now takes a length or none, so that a server's framing cannot reach it. A stream to an HTTP/1.1 caller is in chunks; only an HTTP/1.0 caller gets one that ends with its connection, and `break()` resets that connection. The end of a planned stop ends each open request: a held answer that is complete is delivered, an answer that has begun is broken off, a request without an answer is refused; then the rest of the open responses is broken off. An answer without a length that its server ends regularly is complete, as HTTP says, also as the second part of a resumed stream.

Ruled out as a fix: a reset in `destroy` alone, because the end of the process does not pass there, and because a reset discards events that the caller has not read yet, which chunks do not need.

What remains: when a process is killed, the kernel closes the stream of an HTTP/1.0 caller regularly.

--- a/src/common/forwarding/answer-delivery.ts
+++ b/src/common/forwarding/answer-delivery.ts
@@ -82,9 +82,9 @@
 		return attempt.head ? this._relay.problemOf(attempt, attempt.head) : 'no-answer';
 	}
 
-	/** Ends a complete answer. @returns whether the caller can see that it is complete. */
-	end(attempt: Attempt): boolean {
-		return this._relay.end(attempt, attempt.head!);
+	/** Ends a complete answer. */
+	end(attempt: Attempt): void {
+		this._relay.end(attempt, attempt.head!);
 	}
 
 	dispose(): void {
--- a/src/common/forwarding/answer-relay.ts
+++ b/src/common/forwarding/answer-relay.ts
@@ -1,7 +1,6 @@
 import {type Attempt} from './attempt.js';
 import {type CallerAnswer} from './caller-answer.js';
 import {type StreamProblem} from './event-splitter.js';
-import {answerFraming} from './answer-framing.js';
 import {type AnswerHead} from './forward-request.js';
 
 /** Why an ended answer is incomplete. */
@@ -11,9 +10,6 @@
 
 /** Passes answers to a caller: streams event by event as they arrive, other answers once they are complete. */
 export class AnswerRelay {
-	/** Whether the framing of the stream shows the caller that the stream is complete. */
-	private _isStreamFramed = true;
-
 	constructor(
 		private readonly _answer: CallerAnswer,
 		private readonly _isStreamRoute: boolean,
@@ -29,8 +25,7 @@
 	/** Sends the head of a streamed answer, unless an earlier attempt has already sent one. */
 	begin(head: AnswerHead): void {
 		if (this._isStreamed(head) && !this._answer.isStarted) {
-			this._isStreamFramed = head.framing !== answerFraming.close;
-			this._answer.begin(head.status, head.headers, head.framing === answerFraming.close ? 'until-close' : 'chunked');
+			this._answer.begin(head.status, head.headers, undefined);
 		}
 	}
 
@@ -81,23 +76,18 @@
 		return head.length !== undefined && head.length !== bufferedBytes ? 'short-answer' : undefined;
 	}
 
-	/** Ends a complete answer. @returns whether the caller can see that it is complete. */
-	end({bufferedChunks, bufferedBytes, splitter}: Attempt, head: AnswerHead): boolean {
+	/** Ends a complete answer. */
+	end({bufferedChunks, bufferedBytes, splitter}: Attempt, head: AnswerHead): void {
 		if (!this._isStreamed(head)) {
-			this._answer.begin(head.status, head.headers, head.framing === answerFraming.close ? 'until-close' : bufferedBytes);
+			this._answer.begin(head.status, head.headers, bufferedBytes);
 			for (const chunk of bufferedChunks) {
 				this._answer.write(chunk);
 			}
-		} else if (this._isStreamFramed && head.framing === answerFraming.close) {
-			// The caller's stream is framed, but this answer ends with its connection: a crash would look the same as its end.
-			this._answer.break();
-			return false;
 		} else if (splitter.held.length > 0) {
 			this._answer.write(splitter.held);
 		}
 
 		this._answer.complete();
-		return true;
 	}
 
 	private _isStreamed({status}: AnswerHead): boolean {
--- a/src/common/forwarding/caller-answer.ts
+++ b/src/common/forwarding/caller-answer.ts
@@ -35,9 +35,9 @@
 		return this._ending;
 	}
 
-	/** Sends the head of an answer. */
-	begin(status: number, headers: readonly string[], framing: number | 'chunked' | 'until-close'): void {
-		this._sink.writeHead(status, headers, framing);
+	/** Sends the head of an answer whose body has `length` bytes, or of a stream if it is undefined. */
+	begin(status: number, headers: readonly string[], length: number | undefined): void {
+		this._sink.writeHead(status, headers, length);
 	}
 
 	/** @returns whether the caller keeps up. */
@@ -54,7 +54,7 @@
 	/** Ends an answer that is not complete. */
 	break(): void {
 		this._ending = answerEnding.broken;
-		this._sink.destroy();
+		this._sink.break();
 	}
 
 	/** Answers with an error of the router. */
--- a/src/common/forwarding/caller-sink.ts
+++ b/src/common/forwarding/caller-sink.ts
@@ -19,17 +19,14 @@
 	/** Called once when the caller has disconnected before its answer was complete. */
 	onDisconnect: (() => void) | undefined;
 	onDrain: (() => void) | undefined;
-	/**
-	Sends the head of an answer.
-
-	`framing` is the length in bytes, `chunked`, or `until-close` for a body that ends with its connection.
-	*/
-	writeHead(status: number, headers: readonly string[], framing: number | 'chunked' | 'until-close'): void;
+	/** Sends the head of an answer with a body of `length` bytes, or of a stream if it is undefined. What marks the end of a stream depends on the caller only. */
+	writeHead(status: number, headers: readonly string[], length: number | undefined): void;
 	/** @returns whether the caller keeps up; after false, `onDrain` follows. */
 	write(chunk: Uint8Array): boolean;
+	/** Ends an answer that is complete. */
 	end(): void;
-	/** Closes the connection abruptly, so that a started answer does not look complete. */
-	destroy(): void;
+	/** Closes the connection in such a way that its caller cannot take the answer for complete. */
+	break(): void;
 	/** Answers the request with an error of the router. */
 	refuse(refusal: Refusal): void;
 }
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -13,7 +13,7 @@
 import {type ForwardServices} from './forward-services.js';
 import {type AdmittedRequest} from './forwarder.js';
 import {
-	mayHaveRunRefusal, notRunRefusal, pausedRefusal, quarantinedPartReason, quarantinedRefusal, quarantinedRequestReason, serversUnreachableReason, timeoutReason,
+	mayHaveRunRefusal, notRunRefusal, pausedRefusal, quarantinedPartReason, quarantinedRefusal, quarantinedRequestReason, serversUnreachableReason, stoppingReason, timeoutReason,
 } from './router-refusals.js';
 import {HandOver} from './hand-over.js';
 import {guardedEvents} from './guarded-events.js';
@@ -23,7 +23,7 @@
 import {RequestAttempts} from './request-attempts.js';
 import {nullReleaseObserver} from './null-release-observer.js';
 import {type ServerRecord} from './server-pool.js';
-import {reportOpenRequest, type RequestReport, reportRequest} from './request-report.js';
+import {reportRequest} from './request-report.js';
 import {WriteCheck} from './write-check.js';
 
 /** What a run needs of the forwarder that admitted its request. */
@@ -103,9 +103,13 @@
 		this._attempt();
 	}
 
-	/** Logs the state of the request, which the end of the process cuts off. */
-	reportOpen(): void {
-		reportOpenRequest(this._services, this._admitted, this._report);
+	/** Ends the request because the process ends: with a held answer that is complete, or else visibly incomplete. */
+	stop(): void {
+		this._cutOff(stoppingReason);
+		if (!this._isFinished) {
+			// A held answer had begun in its place.
+			this._cutOff(stoppingReason);
+		}
 	}
 
 	askLarger(): void {
@@ -357,7 +361,8 @@
 		this._crashes.recordComplete(attempt);
 		this._trail.push(attempt.describe(String(attempt.head!.status)));
 		attempt.finish();
-		this._finish(this._delivery.end(attempt) ? 'answered' : 'unframed-end');
+		this._delivery.end(attempt);
+		this._finish('answered');
 	}
 
 	private _onFailure(attempt: Attempt, {isUnsent, reason}: AttemptFailure): void {
@@ -469,12 +474,21 @@
 	private _timeOut(): void {
 		const attempt = this._current;
 		if (attempt && !attempt.isFinished) {
-			this._mayHaveRun = true;
 			this._records.recordTimeout(attempt);
-			this.abandon(attempt, timeoutReason);
 		}
 
-		this._endWithoutAnswer(timeoutReason);
+		this._cutOff(timeoutReason);
+	}
+
+	/** Ends the request whatever its state. */
+	private _cutOff(reason: string): void {
+		const attempt = this._current;
+		if (attempt && !attempt.isFinished) {
+			this._mayHaveRun = true;
+			this.abandon(attempt, reason);
+		}
+
+		this._endWithoutAnswer(reason);
 	}
 
 	private _finish(outcome: string): void {
@@ -491,13 +505,9 @@
 		this._isFinished = true;
 		this._timer?.dispose();
 		this._delivery.dispose();
-		reportRequest(this._services, this._admitted, {...this._report, outcome});
+		reportRequest(this._services, this._admitted, {
+			startedAt: this.startedAt, attempts: this._attempts.count, trail: this._trail, outcome, answer: this._answer, serverFraming: this._current?.head?.framing, isBroken: this._crashes.hasBroken,
+		});
 		this._host.onFinished();
 	}
-
-	private get _report(): RequestReport {
-		return {
-			startedAt: this.startedAt, attempts: this._attempts.count, trail: this._trail, outcome: undefined, answer: this._answer, serverFraming: this._current?.head?.framing, isBroken: this._crashes.hasBroken,
-		};
-	}
 }
--- a/src/common/forwarding/forwarder.ts
+++ b/src/common/forwarding/forwarder.ts
@@ -17,9 +17,6 @@
 /** Jitter in seconds of the retries of callers that were refused for want of a renewal. */
 const renewalRetryJitterSeconds = 0.3;
 
-/** Maximum number of requests in flight that are logged at the end of the process. */
-const maxOpenReports = 200;
-
 /** A request that may be forwarded, with its route, customer and service. */
 export interface AdmittedRequest {
 	readonly req: ForwardRequest;
@@ -95,15 +92,15 @@
 		}
 	}
 
-	/** Logs the requests in flight, which the end of the process cuts off. */
+	/** Ends the requests in flight, because the process ends. */
 	stop(): void {
 		const {logger} = this._services;
 		if (this.active > 0) {
 			logger.warn({active: this.active, waiting: this._queue.size + this._confirmations.size}, 'requests are open at the end of the process');
 		}
 
-		for (const run of [...this._runs].slice(0, maxOpenReports)) {
-			run.reportOpen();
+		for (const run of this._runs) {
+			run.stop();
 		}
 	}
 
--- a/src/common/forwarding/request-report.ts
+++ b/src/common/forwarding/request-report.ts
@@ -3,14 +3,13 @@
 import {type AdmittedRequest} from './forwarder.js';
 import {type ForwardServices} from './forward-services.js';
 
-/** Summary of a request. */
+/** Summary of a finished request. */
 export interface RequestReport {
 	readonly startedAt: number;
 	readonly attempts: number;
 	/** Description of each attempt. */
 	readonly trail: readonly string[];
-	/** Undefined while the request is in flight. */
-	readonly outcome: string | undefined;
+	readonly outcome: string;
 	/** What the caller got. */
 	readonly answer: Pick<CallerAnswer, 'framing' | 'ending'>;
 	/** Framing of the answer of the backend server asked last; undefined without one. */
@@ -20,26 +19,15 @@
 }
 
 /** Updates the metrics for a finished request and logs its summary. */
-export function reportRequest(services: ForwardServices, admitted: AdmittedRequest, report: RequestReport & {readonly outcome: string}): void {
-	const {counters, clock, logger} = services;
-	const {route} = admitted;
-	counters.increment('forward.finished', 1, {outcome: report.outcome, route: route.name});
-	counters.timing('forward.duration', clock.now() - report.startedAt, {route: route.name});
-	logger.info(summaryOf(services, admitted, report), 'request finished');
-}
-
-/** Logs the summary of a request that is in flight when the process ends. */
-export function reportOpenRequest(services: ForwardServices, admitted: AdmittedRequest, report: RequestReport): void {
-	services.logger.warn(summaryOf(services, admitted, report), 'request open at the end of the process');
-}
-
-function summaryOf({clock, lease}: ForwardServices, {
+export function reportRequest({clock, counters, logger, lease}: ForwardServices, {
 	req, route, configVersion, customer, digest,
 }: AdmittedRequest, {
-	startedAt, attempts, trail, outcome, answer, serverFraming, isBroken,
-}: RequestReport): Record<string, unknown> {
+	startedAt, attempts, trail, outcome, answer: {framing, ending}, serverFraming, isBroken,
+}: RequestReport): void {
 	const now = clock.now();
-	return {
-		req: req.id, route: route.name, customer: customer?.name, digest, config: configVersion, leaseLeftMs: Math.round(lease.expiresAt - now), attempts, trail, ms: Math.round(now - startedAt), outcome, framing: answer.framing, ending: answer.ending, serverFraming, ...(isBroken && {parts: req.generation?.parts.map(({id}) => id)}), ...(req.attemptsLeft !== undefined && {attemptsLeft: req.attemptsLeft}),
-	};
+	counters.increment('forward.finished', 1, {outcome, route: route.name});
+	counters.timing('forward.duration', now - startedAt, {route: route.name});
+	logger.info({
+		req: req.id, route: route.name, customer: customer?.name, digest, config: configVersion, leaseLeftMs: Math.round(lease.expiresAt - now), attempts, trail, ms: Math.round(now - startedAt), outcome, framing, ending, serverFraming, ...(isBroken && {parts: req.generation?.parts.map(({id}) => id)}), ...(req.attemptsLeft !== undefined && {attemptsLeft: req.attemptsLeft}),
+	}, 'request finished');
 }
--- a/src/common/forwarding/router-refusals.ts
+++ b/src/common/forwarding/router-refusals.ts
@@ -20,6 +20,8 @@
 export const serversUnreachableReason = 'servers-unreachable';
 /** Code of a request that the applied configuration does not allow while a newer one may be in force. */
 export const unconfirmedReason = 'configuration-unconfirmed';
+/** Code of a request that the end of the process has cut off. */
+export const stoppingReason = 'stopping';
 /** Code of a request that reached its deadline. */
 export const timeoutReason = 'timeout';
 
--- a/src/daemon/caller-server.ts
+++ b/src/daemon/caller-server.ts
@@ -33,7 +33,7 @@
 	private readonly _onError = new Emitter<Error>();
 	private _limits: CallerLimits | undefined;
 	private _isClosed = false;
-	private _active = 0;
+	private readonly _open = new Set<HttpCallerSink>();
 
 	constructor(private readonly _forwarder: Forwarder, private readonly _codec: CallerCodec) {
 		this._server = createServer({maxHeaderSize: parserHeaderBytes}, (req, res) => {
@@ -43,11 +43,12 @@
 				return;
 			}
 
-			this._active++;
+			const sink = new HttpCallerSink(res, this._codec);
+			this._open.add(sink);
 			res.once('close', () => {
-				this._active--;
+				this._open.delete(sink);
 			});
-			this._receive(req, res);
+			this._receive(req, res, sink);
 		});
 		this._connections = new CallerConnections(this._server);
 		// Each route has its own timeout.
@@ -56,7 +57,7 @@
 
 	/** Number of requests in flight. */
 	get active(): number {
-		return this._active;
+		return this._open.size;
 	}
 
 	/** Raised when a connection cannot be accepted. */
@@ -92,9 +93,12 @@
 		this._connections.close();
 	}
 
-	/** Logs the requests in flight, which the end of the process cuts off. */
+	/** Ends all answers in flight, because the process ends: the kernel would close their connections as if they were complete. */
 	stop(): void {
 		this._forwarder.stop();
+		for (const sink of this._open) {
+			sink.break();
+		}
 	}
 
 	dispose(): void {
@@ -102,8 +106,7 @@
 		this._server.closeAllConnections();
 	}
 
-	private _receive(req: IncomingMessage, res: ServerResponse): void {
-		const sink = new HttpCallerSink(res, this._codec);
+	private _receive(req: IncomingMessage, res: ServerResponse, sink: HttpCallerSink): void {
 		if (this._isClosed) {
 			sink.refuse({
 				status: 503, code: 'stopping', ran: 'no', retryAfterSeconds: stoppingRetrySeconds,
--- a/src/daemon/http-caller-sink.ts
+++ b/src/daemon/http-caller-sink.ts
@@ -29,20 +29,15 @@
 		return this._framing;
 	}
 
-	writeHead(status: number, headers: readonly string[], framing: number | 'chunked' | 'until-close'): void {
-		const sent = [...headers];
-		if (framing === 'until-close') {
-			this._res.useChunkedEncodingByDefault = false;
-			this._res.setHeader('connection', 'close');
-		} else if (framing !== 'chunked') {
-			sent.push('content-length', String(framing));
+	writeHead(status: number, headers: readonly string[], length: number | undefined): void {
+		this._res.writeHead(status, this._withConnection(length === undefined ? [...headers] : [...headers, 'content-length', String(length)]));
+		if (length !== undefined) {
+			this._framing = answerFraming.length;
+			return;
 		}
 
-		this._res.writeHead(status, this._withConnection(sent));
-		this._framing = typeof framing === 'number' ? answerFraming.length : (this._res.chunkedEncoding ? answerFraming.chunked : answerFraming.close);
-		if (typeof framing !== 'number') {
-			this._res.flushHeaders();
-		}
+		this._framing = this._res.chunkedEncoding ? answerFraming.chunked : answerFraming.close;
+		this._res.flushHeaders();
 	}
 
 	write(chunk: Uint8Array): boolean {
@@ -53,8 +48,18 @@
 		this._res.end();
 	}
 
-	destroy(): void {
-		this._res.destroy();
+	break(): void {
+		if (this._res.writableFinished) {
+			return;
+		}
+
+		const {socket} = this._res;
+		if (socket && this._framing === answerFraming.close) {
+			// A regular close is how such an answer ends when it is complete.
+			socket.resetAndDestroy();
+		} else {
+			this._res.destroy();
+		}
 	}
 
 	refuse(refusal: Refusal): void {
--- a/src/testing/recording-sink.ts
+++ b/src/testing/recording-sink.ts
@@ -20,9 +20,9 @@
 		return this.status !== undefined;
 	}
 
-	writeHead(status: number, _headers: readonly string[], framing: number | 'chunked' | 'until-close'): void {
+	writeHead(status: number, _headers: readonly string[], length: number | undefined): void {
 		this.status = status;
-		this.framing = typeof framing === 'number' ? answerFraming.length : (framing === 'chunked' ? answerFraming.chunked : answerFraming.close);
+		this.framing = length === undefined ? answerFraming.chunked : answerFraming.length;
 	}
 
 	write(chunk: Uint8Array): boolean {
@@ -35,7 +35,7 @@
 		this.onFinished?.();
 	}
 
-	destroy(): void {
+	break(): void {
 		this.isCut = true;
 		this.onFinished?.();
 	}
