Forward answers without a body as what they are

HEAD was always answered 502 `short-answer` when the server stated a length, because the length was compared with the empty body; without a stated length it got `content-length: 0`, or on stream routes a stream. 204 got `content-length: 0`, which HTTP forbids, and 304 with a length was answered 502, because the HTTP client makes the same comparison.

Whether an answer has a body follows from the method and the status alone (`hasBody`); one without is never a stream, is complete with its head, and passes on the length that its server stated.

--- a/src/common/forwarding/answer-delivery.ts
+++ b/src/common/forwarding/answer-delivery.ts
@@ -4,7 +4,8 @@
 import {type Attempt} from './attempt.js';
 import {type CallerAnswer} from './caller-answer.js';
 import {type AnswerHead} from './forward-request.js';
-import {repetition, type Route} from './routing-config.js';
+import {type AdmittedRequest} from './forwarder.js';
+import {type Route} from './routing-config.js';
 import {StallWatch} from './stall-watch.js';
 import {headTimeoutMs, pauseTimeoutMs} from './stall-timeouts.js';
 
@@ -12,16 +13,17 @@
 export class AnswerDelivery implements Disposable {
 	private readonly _relay: AnswerRelay;
 	private readonly _stallWatch: StallWatch;
+	private readonly _route: Route;
 
 	constructor(
 		clock: Clock,
 		answer: CallerAnswer,
-		private readonly _route: Route,
-		resumeAfter: number | undefined,
+		admitted: Pick<AdmittedRequest, 'req' | 'route'>,
 		/** Called when the server in use has been silent for too long; undefined when no other server may be asked. */
 		private readonly _onStall: (() => void) | undefined,
 	) {
-		this._relay = new AnswerRelay(answer, _route.repetition === repetition.stream, resumeAfter);
+		this._relay = new AnswerRelay(answer, admitted);
+		this._route = admitted.route;
 		this._stallWatch = new StallWatch(clock, () => {
 			_onStall?.();
 		});
--- a/src/common/forwarding/answer-relay.ts
+++ b/src/common/forwarding/answer-relay.ts
@@ -2,6 +2,10 @@
 import {type CallerAnswer} from './caller-answer.js';
 import {type StreamProblem} from './event-splitter.js';
 import {type AnswerHead} from './forward-request.js';
+import {type AdmittedRequest} from './forwarder.js';
+import {hasBody} from './has-body.js';
+import {isSuccess} from './head-verdict.js';
+import {repetition} from './routing-config.js';
 
 /** Why an ended answer is incomplete. */
 export type AnswerProblem = 'torn-event' | 'short-answer';
@@ -10,12 +14,11 @@
 
 /** Passes answers to a caller: streams event by event as they arrive, other answers once they are complete. */
 export class AnswerRelay {
-	constructor(
-		private readonly _answer: CallerAnswer,
-		private readonly _isStreamRoute: boolean,
-		/** ID of the last event that the caller has received. */
-		private _lastEventId: number | undefined,
-	) {}
+	private _lastEventId: number | undefined;
+
+	constructor(private readonly _answer: CallerAnswer, private readonly _admitted: Pick<AdmittedRequest, 'req' | 'route'>) {
+		this._lastEventId = _admitted.req.resumeAfter;
+	}
 
 	/** ID of the last event that the caller has received; undefined before the first one. */
 	get lastEventId(): number | undefined {
@@ -73,13 +76,13 @@
 			return splitter.remainder.length > 0 ? 'torn-event' : undefined;
 		}
 
-		return head.length !== undefined && head.length !== bufferedBytes ? 'short-answer' : undefined;
+		return this._hasBody(head) && head.length !== undefined && head.length !== bufferedBytes ? 'short-answer' : undefined;
 	}
 
 	/** Ends a complete answer. */
 	end({bufferedChunks, bufferedBytes, splitter}: Attempt, head: AnswerHead): void {
 		if (!this._isStreamed(head)) {
-			this._answer.begin(head.status, head.headers, bufferedBytes);
+			this._answer.begin(head.status, head.headers, this._hasBody(head) ? bufferedBytes : head.length);
 			for (const chunk of bufferedChunks) {
 				this._answer.write(chunk);
 			}
@@ -90,7 +93,11 @@
 		this._answer.complete();
 	}
 
-	private _isStreamed({status}: AnswerHead): boolean {
-		return this._isStreamRoute && status >= 200 && status < 300;
+	private _isStreamed(head: AnswerHead): boolean {
+		return this._admitted.route.repetition === repetition.stream && isSuccess(head) && this._hasBody(head);
+	}
+
+	private _hasBody({status}: AnswerHead): boolean {
+		return hasBody(this._admitted.req.message.method, status);
 	}
 }
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -69,7 +69,7 @@
 		this._crashes = new CrashGuard(_services, _admitted);
 		this._handOver = new HandOver(_services, _admitted);
 		this._answer = new CallerAnswer(_sink);
-		this._delivery = new AnswerDelivery(_services.clock, this._answer, route, req.resumeAfter, this._attempts.isRepeatable
+		this._delivery = new AnswerDelivery(_services.clock, this._answer, _admitted, this._attempts.isRepeatable
 			? () => {
 				this._onStall();
 			}
--- a/src/daemon/http-caller-sink.ts
+++ b/src/daemon/http-caller-sink.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
 import {answerFraming, type AnswerFraming} from '../common/forwarding/answer-framing.js';
+import {hasBody} from '../common/forwarding/has-body.js';
 import {type CallerSink, type Refusal} from '../common/forwarding/caller-sink.js';
 import {type CallerCodec} from './caller-codec.js';
 
@@ -30,8 +31,9 @@
 	}
 
 	writeHead(status: number, headers: readonly string[], length: number | undefined): void {
-		this._res.writeHead(status, this._withConnection(length === undefined ? [...headers] : [...headers, 'content-length', String(length)]));
-		if (length !== undefined) {
+		const isBodiless = !hasBody(this._res.req.method ?? '', status);
+		this._res.writeHead(status, this._withConnection(length === undefined || status === 204 ? [...headers] : [...headers, 'content-length', String(length)]));
+		if (length !== undefined || isBodiless) {
 			this._framing = answerFraming.length;
 			return;
 		}
--- a/src/node/http-backend-port.ts
+++ b/src/node/http-backend-port.ts
@@ -6,6 +6,7 @@
 import {
 	type AttemptEvents, type AttemptHandle, type BackendPort, withdrawnReason,
 } from '../common/forwarding/backend-port.js';
+import {hasBody} from '../common/forwarding/has-body.js';
 import {type AttemptTerms, type ForwardMessage} from '../common/forwarding/forward-request.js';
 import {type BackendCodec} from './backend-codec.js';
 import {timedConnector} from './timed-connector.js';
@@ -22,7 +23,7 @@
 	constructor(private readonly _codec: BackendCodec, private readonly _logger: Logger) {}
 
 	send(message: ForwardMessage, terms: AttemptTerms, events: AttemptEvents): AttemptHandle {
-		const attempt = new HttpAttempt(this._codec, terms, events);
+		const attempt = new HttpAttempt(this._codec, message, terms, events);
 		try {
 			this._pool(terms).dispatch({
 				method: message.method,
@@ -118,6 +119,7 @@
 
 	constructor(
 		private readonly _codec: BackendCodec,
+		private readonly _message: ForwardMessage,
 		private readonly _terms: AttemptTerms,
 		private readonly _events: AttemptEvents,
 	) {}
@@ -145,6 +147,10 @@
 	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
 		if (!this._isFinished && status >= 200) {
 			this._events.onHead(this._codec.decodeHead(status, headers, this._terms.requestId));
+			if (!hasBody(this._message.method, status)) {
+				// The client would check the stated length against the body that such an answer does not have.
+				this.onResponseEnd();
+			}
 		}
 	}
 
