--- a/src/soak/soak-plan.ts
+++ b/src/soak/soak-plan.ts
@@ -20,7 +20,7 @@
 	controlTear: 'control-tear',
 	/** Kills a control host, deletes its data and restarts it. */
 	controlWipe: 'control-wipe',
-	/** Crashes an engine without notice and restarts it under a new id. */
+	/** Crashes an engine without notice and restarts it under a new id, sometimes for another service. */
 	engineCrash: 'engine-crash',
 	/** Drains an engine and restarts it under a new id. */
 	engineDrain: 'engine-drain',
@@ -28,8 +28,10 @@
 	engineMode: 'engine-mood',
 	/** Disturbs the connections between entry hosts and an engine. */
 	engineLink: 'engine-link',
-	/** Sends SIGHUP to an entry host and a control host, which reload their settings. */
+	/** Sends SIGHUP to an entry host and a control host, which reload their settings, also while they start or stop. */
 	reloadSettings: 'hang-up',
+	/** Stops a host as planned and sends signals to it while it starts again. */
+	earlySignals: 'early-signals',
 } as const;
 
 /** A value of `soakAction`. */
@@ -45,13 +47,17 @@
 }
 
 /** Planned work, which must not affect callers unless there are faults as well. */
-const plannedActions: readonly SoakAction[] = [soakAction.entryStop, soakAction.controlStop, soakAction.engineDrain, soakAction.reloadSettings];
+const plannedActions: readonly SoakAction[] = [soakAction.entryStop, soakAction.controlStop, soakAction.engineDrain, soakAction.reloadSettings, soakAction.earlySignals];
+/** Additional work in overloaded seeds, so that backend servers leave while requests wait for them. */
+const leaves: readonly SoakAction[] = [soakAction.engineDrain, soakAction.engineDrain, soakAction.engineDrain];
 /** Every third seed has planned work only. */
 const plannedOnlyInterval = 3;
 /** Number of disturbances in ten seconds. */
 const stepsPerTenSeconds = 12;
-/** Number of planned steps in ten seconds, so few that a step has usually ended before the next one begins. */
-const plannedStepsPerTenSeconds = 3;
+/** Number of planned steps in ten seconds; some of them overlap. */
+const plannedStepsPerTenSeconds = 6;
+/** Every sixth seed has callers that ask for more than the engines accept; it has planned work only. */
+const overloadInterval = 6;
 /** Range of the durations of disturbances in milliseconds. */
 const minStepMs = 200;
 const maxStepMs = 4000;
@@ -61,10 +67,16 @@
 	return seed % plannedOnlyInterval === 0;
 }
 
+/** Whether callers of a seed ask for more than the backend servers accept. */
+export function isOverloaded(seed: number): boolean {
+	return seed % overloadInterval === 0;
+}
+
 /** Plans the disturbances of a seed, in order of time; they may overlap. */
 export function planSoak(seed: number, random: RandomSource, durationMs: number): SoakStep[] {
 	const isPlanned = isPlannedOnly(seed);
-	const actions = isPlanned ? plannedActions : Object.values(soakAction);
+	const planned = isOverloaded(seed) ? [...plannedActions, ...leaves] : plannedActions;
+	const actions = isPlanned ? planned : Object.values(soakAction);
 	const count = Math.round(durationMs / 10_000 * (isPlanned ? plannedStepsPerTenSeconds : stepsPerTenSeconds));
 	return Array.from({length: count}, (_, index) => ({
 		action: actions[random.integer(actions.length)]!,
--- a/src/soak/soak-process.ts
+++ b/src/soak/soak-process.ts
@@ -8,6 +8,10 @@
 
 /** Time in milliseconds between the two stop signals. */
 const secondSignalMs = 300;
+/** Time in milliseconds after which a process that ended by itself is started again, as supervisors do. */
+const restartMs = 300;
+/** Flags of `deploy/system.toml`, for which the code cache was made. */
+const flags = ['--max-old-space-size=200', '--max-semi-space-size=4'];
 /** Prefix of the names of log segment files. */
 const segmentPrefix = 'log-';
 
@@ -24,11 +28,16 @@
 	readonly settingsVariable: string;
 	/** Returns the content of the settings file for a start; `isFirst` tells whether it is the first start. */
 	readonly settings: (isFirst: boolean, dataDir: string) => string;
+	/** Called when the process has ended although it was neither killed nor stopped, or in another way than a stop. */
+	readonly onOwnEnd: (code: number | undefined, signal: string | undefined) => void;
 }
 
 /** A program of the system in its own process, controlled only by signals. */
 export class SoakProcess {
 	private _child: ChildProcess | undefined;
+	/** Processes that were stopped, which may end by the stop signal or with code 0. */
+	private readonly _stopped = new WeakSet<ChildProcess>();
+	private _isClosed = false;
 	private _isPaused = false;
 	private _startCount = 0;
 	private _program: string;
@@ -51,16 +60,26 @@
 		} = this._options;
 		const file = path.join(folder, `${name}.json`);
 		writeFileSync(file, settings(this._startCount++ === 0, this._dataDir));
-		const child = spawn(process.execPath, ['--max-old-space-size=200', this._program, role], {
+		const child = spawn(process.execPath, [...flags, this._program, role], {
 			env: Object.fromEntries([['PATH', process.env.PATH], [settingsVariable, file]]), stdio: ['ignore', 'pipe', 'pipe'],
 		});
 		const log = createWriteStream(path.join(folder, `${name}.log`), {flags: 'a'});
 		child.stdout.pipe(log);
 		child.stderr.pipe(log);
-		child.once('exit', () => {
-			if (this._child === child) {
-				this._child = undefined;
-				this._isPaused = false;
+		child.once('exit', (code, signal) => {
+			if (this._child !== child) {
+				return;
+			}
+
+			this._child = undefined;
+			this._isPaused = false;
+			if (!this._stopped.has(child) || (code !== 0 && signal !== 'SIGTERM' && signal !== 'SIGKILL')) {
+				this._options.onOwnEnd(code ?? undefined, signal ?? undefined);
+				this._options.clock.setTimer(restartMs, () => {
+					if (!this._isClosed) {
+						this.start();
+					}
+				});
 			}
 		});
 		this._child = child;
@@ -77,11 +96,17 @@
 		this._isPaused = false;
 	}
 
-	/** Sends SIGHUP, on which the process reloads its settings. */
+	/** Sends SIGHUP, on which the process reloads its settings, also while it starts or stops. */
 	requestReload(): void {
 		this._child?.kill('SIGHUP');
 	}
 
+	/** Kills the process for good. */
+	close(): void {
+		this._isClosed = true;
+		this.kill();
+	}
+
 	pause(): void {
 		this._isPaused = this._child?.kill('SIGSTOP') ?? false;
 	}
@@ -98,6 +123,7 @@
 			return;
 		}
 
+		this._stopped.add(child);
 		const {clock} = this._options;
 		const secondSignal = clock.setTimer(secondSignalMs, () => {
 			child.kill('SIGTERM');
--- a/src/soak/tcp-proxy.ts
+++ b/src/soak/tcp-proxy.ts
@@ -74,11 +74,19 @@
 
 	private _forward(from: Socket, to: Socket, isRequest: boolean): void {
 		from.setNoDelay(true);
+		// Data that was delayed must not be overtaken when the link is fast again.
+		const delayed: Array<() => void> = [];
 		from.on('data', chunk => {
-			this._deliver(isRequest, () => to.write(chunk));
+			this._deliver(isRequest, delayed, () => {
+				// A slow reader must be felt on the other side.
+				if (!to.write(chunk) && !to.destroyed) {
+					from.pause();
+					to.once('drain', () => from.resume());
+				}
+			});
 		});
 		from.on('end', () => {
-			this._deliver(isRequest, () => to.end());
+			this._deliver(isRequest, delayed, () => to.end());
 		});
 		from.on('error', () => {
 			// A reset must reach the other side as a reset, not as a normal close.
@@ -89,13 +97,16 @@
 		});
 	}
 
-	private _deliver(isRequest: boolean, action: () => void): void {
+	private _deliver(isRequest: boolean, delayed: Array<() => void>, action: () => void): void {
 		if (this._state === linkState.silent || (this._state === linkState.oneWay && !isRequest)) {
 			return;
 		}
 
-		if (this._state === linkState.slow) {
-			this._clock.setTimer(slowLinkDelayMs, action);
+		if (this._state === linkState.slow || delayed.length > 0) {
+			delayed.push(action);
+			this._clock.setTimer(slowLinkDelayMs, () => {
+				delayed.shift()?.();
+			});
 		} else {
 			action();
 		}
