--- a/src/soak/answer-draw.ts
+++ b/src/soak/answer-draw.ts
@@ -76,9 +76,9 @@
 const variantShares: ReadonlyArray<readonly [Variant, number]> = [[variant.early, 0.06], [variant.closing, 0.05], [variant.refusal, 0.02], [variant.timedRefusal, 0.01]];
 const maxPieceBytes = 16_384;
 
-/** Draws how a backend server answers a request; with faults in `faultShare` of the requests. */
-export function drawAnswer(random: RandomSource, faultShare: number): AnswerDraw {
-	const framings = Object.values(framing);
+/** Draws how a backend server answers a request; with faults in `faultShare` of the requests. With `isFramed` each answer has a length or chunks, for builds that take the end of others for their completion. */
+export function drawAnswer(random: RandomSource, faultShare: number, isFramed = false): AnswerDraw {
+	const framings = isFramed ? [framing.length, framing.chunks] : Object.values(framing);
 	const faults = Object.values(fault);
 	const isFaulty = random.next() < faultShare;
 	let rest = random.next();
--- a/src/soak/judges/soak-history.ts
+++ b/src/soak/judges/soak-history.ts
@@ -137,7 +137,8 @@
 	readonly host: string;
 	readonly code: number | undefined;
 	readonly signal: string | undefined;
-	readonly at: number;
+	/** Time in milliseconds from its start. */
+	readonly ageMs: number;
 }
 
 /** Everything that callers, backend servers and operators saw in a run, from outside the system. */
@@ -148,6 +149,8 @@
 	readonly isOverloaded: boolean;
 	/** Time in milliseconds from the stop signal to the kill. */
 	readonly graceMs: number;
+	/** Longest time in milliseconds for which the soak itself did not run; it sees ends of connections so much later. */
+	readonly longestPauseMs: number;
 	readonly requests: ReadonlyMap<string, SoakRequest>;
 	/** Runs by the id of their request, in the order of their starts. */
 	readonly runs: ReadonlyMap<string, readonly SoakRun[]>;
--- a/src/soak/soak-process.ts
+++ b/src/soak/soak-process.ts
@@ -29,7 +29,7 @@
 	/** Returns the content of the settings file for a start; `isFirst` tells whether it is the first start. */
 	readonly settings: (isFirst: boolean, dataDir: string) => string;
 	/** Called when the process has ended although it was neither killed nor stopped, or in another way than a stop. */
-	readonly onOwnEnd: (code: number | undefined, signal: string | undefined) => void;
+	readonly onOwnEnd: (end: {readonly code: number | undefined; readonly signal: string | undefined; readonly ageMs: number}) => void;
 }
 
 /** A program of the system in its own process, controlled only by signals. */
@@ -66,6 +66,7 @@
 		const log = createWriteStream(path.join(folder, `${name}.log`), {flags: 'a'});
 		child.stdout.pipe(log);
 		child.stderr.pipe(log);
+		const startedAt = this._options.clock.now();
 		child.once('exit', (code, signal) => {
 			if (this._child !== child) {
 				return;
@@ -74,7 +75,7 @@
 			this._child = undefined;
 			this._isPaused = false;
 			if (!this._stopped.has(child) || (code !== 0 && signal !== 'SIGTERM' && signal !== 'SIGKILL')) {
-				this._options.onOwnEnd(code ?? undefined, signal ?? undefined);
+				this._options.onOwnEnd({code: code ?? undefined, signal: signal ?? undefined, ageMs: Math.round(this._options.clock.now() - startedAt)});
 				this._options.clock.setTimer(restartMs, () => {
 					if (!this._isClosed) {
 						this.start();
--- a/src/soak/soak-recorder.ts
+++ b/src/soak/soak-recorder.ts
@@ -16,6 +16,7 @@
 	readonly endedServers = new Set<string>();
 	readonly plannedWork: PlannedWork[] = [];
 	readonly ownEnds: OwnEnd[] = [];
+	longestPauseMs = 0;
 	lastVersions: ReadonlyMap<string, number | undefined> = new Map();
 	/** Number of hosts that were replaced by the present build. */
 	replacements = 0;
