--- a/src/soak/request-draw.ts
+++ b/src/soak/request-draw.ts
@@ -61,15 +61,16 @@
 const minDeadlineMs = 3000;
 const maxDeadlineMs = 8000;
 
-/** Draws how a caller sends request `id`; `patientShare` of them wait longer than usual. */
-export function drawRequest(random: RandomSource, id: string, kinds: readonly RouteKind[], patientShare: number): RequestDraw {
+/** Draws how a caller sends request `id`; `patientShare` of them wait longer than usual, and without `hasOldCallers` none speaks HTTP/1.0. */
+export function drawRequest(random: RandomSource, id: string, kinds: readonly RouteKind[], patientShare: number, hasOldCallers = true): RequestDraw {
 	const kind = kinds[random.integer(kinds.length)]!;
 	const {events, streamMs} = answerPlan(id);
 	let rest = random.next();
-	const chosen = behaviourShares.find(([, share]) => {
+	const drawn = behaviourShares.find(([, share]) => {
 		rest -= share;
 		return rest < 0;
 	})?.[0] ?? behaviour.usual;
+	const chosen = drawn === behaviour.old && !hasOldCallers ? behaviour.usual : drawn;
 	const bytes = kind.method === 'GET' ? 0 : Math.floor(maxBodyBytes ** random.next());
 	return {
 		kind,
