Withdraw what waits for a removed server, and tell servers the time left at the write

One that waited was written with the deadline of the time when it was passed to the HTTP client, so that servers worked beyond the caller's deadline. A host that could use more connections after another one had gone kept the limit of its first request to a server.

`HttpBackendPort.retain` now withdraws at once what was not written yet; the forwarder sends it elsewhere. When a connection is free and the headers are older than 50 ms, the request is dropped before its first byte and passed to the client again with new ones; the connection stays. When all connections of a pool are in use and the limit has grown, a larger pool takes its place; the running requests of the former one end as usual.

--- a/src/node/http-backend-port.ts
+++ b/src/node/http-backend-port.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
 import {type buildConnector, type Dispatcher, Pool} from 'undici';
+import {type Clock} from '../common/base/clock.js';
 import {type Disposable} from '../common/base/disposable.js';
 import {type Logger} from '../common/base/logger.js';
 import {
@@ -9,6 +10,7 @@
 import {hasBody} from '../common/forwarding/has-body.js';
 import {type AttemptTerms, type ForwardMessage} from '../common/forwarding/forward-request.js';
 import {type BackendCodec} from './backend-codec.js';
+import {SystemClock} from './system-clock.js';
 import {timedConnector} from './timed-connector.js';
 
 /** Connect timeout in milliseconds: several times the round trip to another availability zone. */
@@ -16,65 +18,69 @@
 /** Time in milliseconds for which an idle connection is kept, unless the backend server states another time. */
 const idleTimeoutMs = 10_000;
 
+/** Connection pool of one address. */
+type Target = {
+	readonly pool: Pool;
+	readonly maxConnections: number;
+	/** Attempts that have not ended. */
+	readonly attempts: Set<HttpAttempt>;
+};
+
 /** Sends attempts over persistent HTTP connections, with one pool per address. */
 export class HttpBackendPort implements BackendPort, Disposable {
-	private readonly _pools = new Map<string, Pool>();
+	private readonly _targets = new Map<string, Target>();
 
-	constructor(private readonly _codec: BackendCodec, private readonly _logger: Logger) {}
+	constructor(private readonly _codec: BackendCodec, private readonly _logger: Logger, private readonly _clock: Clock = new SystemClock()) {}
 
 	send(message: ForwardMessage, terms: AttemptTerms, events: AttemptEvents): AttemptHandle {
-		const attempt = new HttpAttempt(this._codec, message, terms, events);
-		try {
-			this._pool(terms).dispatch({
-				method: message.method,
-				path: message.target,
-				headers: this._codec.encodeHeaders(message, terms),
-				body: message.body && Buffer.from(message.body.buffer, message.body.byteOffset, message.body.byteLength),
-				headersTimeout: 0,
-				bodyTimeout: 0,
-				// The client must not retry a request on its own.
-				idempotent: false,
-				blocking: false,
-			}, attempt);
-		} catch (error) {
-			attempt.onResponseError(undefined, error as Error);
-		}
-
+		const attempt = new HttpAttempt({
+			codec: this._codec, clock: this._clock, target: this._target(terms), message, terms, events,
+		});
+		attempt.dispatch();
 		return attempt;
 	}
 
-	/** Closes the connections to all other addresses after their requests in flight have ended. */
+	/** Closes the connections to all other addresses after their running requests have ended; withdraws those that were not written yet. */
 	retain(addresses: ReadonlySet<string>): void {
-		for (const [address, pool] of this._pools) {
+		for (const [address, target] of this._targets) {
 			if (!addresses.has(address)) {
-				this._pools.delete(address);
-				void this._close(address, pool);
+				this._targets.delete(address);
+				void this._close(address, target.pool);
+				for (const attempt of target.attempts) {
+					attempt.withdraw();
+				}
 			}
 		}
 	}
 
 	dispose(): void {
-		for (const pool of this._pools.values()) {
+		for (const {pool} of this._targets.values()) {
 			void pool.destroy();
 		}
 
-		this._pools.clear();
+		this._targets.clear();
 	}
 
-	private _pool({address, maxConnections}: AttemptTerms): Pool {
-		let pool = this._pools.get(address);
-		if (!pool) {
-			pool = new Pool(`http://${address}`, {
+	private _target({address, maxConnections}: AttemptTerms): Target {
+		const present = this._targets.get(address);
+		let target = present;
+		// A pool cannot grow.
+		if (!target || (target.attempts.size >= target.maxConnections && target.maxConnections < maxConnections)) {
+			const pool = new Pool(`http://${address}`, {
 				connections: maxConnections,
 				pipelining: 1,
 				connect: closingConnector(),
 				keepAliveTimeout: idleTimeoutMs,
 				allowH2: false,
 			});
-			this._pools.set(address, pool);
+			target = {pool, maxConnections, attempts: new Set()};
+			this._targets.set(address, target);
+			if (present) {
+				void this._close(address, present.pool);
+			}
 		}
 
-		return pool;
+		return target;
 	}
 
 	private async _close(address: string, pool: Pool): Promise<void> {
@@ -112,21 +118,73 @@
 	socket.destroy = (error?: Error) => destroy((error as {code?: string} | undefined)?.code === clientClosedCode ? new Error(error!.message) : error);
 }
 
+/** Age in milliseconds of the headers of a request at its write from which they are made anew. */
+const maxHeaderAgeMs = 50;
+
+/** What one attempt consists of. */
+interface HttpAttemptOptions {
+	readonly codec: BackendCodec;
+	readonly clock: Clock;
+	readonly target: Target;
+	readonly message: ForwardMessage;
+	readonly terms: AttemptTerms;
+	readonly events: AttemptEvents;
+}
+
 /** One attempt, driven by the events of the HTTP client. */
 class HttpAttempt implements AttemptHandle, Dispatcher.DispatchHandler {
+	private readonly _codec: BackendCodec;
+	private readonly _message: ForwardMessage;
+	private readonly _terms: AttemptTerms;
+	private readonly _events: AttemptEvents;
+	private readonly _createdAt: number;
+	private _encodedAt = 0;
 	private _controller: Dispatcher.DispatchController | undefined;
+	private _isOutdated = false;
 	private _isFinished = false;
 
-	constructor(
-		private readonly _codec: BackendCodec,
-		private readonly _message: ForwardMessage,
-		private readonly _terms: AttemptTerms,
-		private readonly _events: AttemptEvents,
-	) {}
+	constructor(private readonly _options: HttpAttemptOptions) {
+		this._codec = _options.codec;
+		this._message = _options.message;
+		this._terms = _options.terms;
+		this._events = _options.events;
+		this._createdAt = _options.clock.now();
+		_options.target.attempts.add(this);
+	}
+
+	/** Passes the request to the HTTP client, which writes it when a connection is free. */
+	dispatch(): void {
+		const {clock, target: {pool}} = this._options;
+		this._encodedAt = clock.now();
+		const remainingMs = Math.max(1, Math.floor(this._terms.remainingMs - (this._encodedAt - this._createdAt)));
+		try {
+			pool.dispatch({
+				method: this._message.method,
+				path: this._message.target,
+				headers: this._codec.encodeHeaders(this._message, {...this._terms, remainingMs}),
+				body: this._message.body && Buffer.from(this._message.body.buffer, this._message.body.byteOffset, this._message.body.byteLength),
+				headersTimeout: 0,
+				bodyTimeout: 0,
+				// The client must not retry a request on its own.
+				idempotent: false,
+				blocking: false,
+			}, this);
+		} catch (error) {
+			this.onResponseError(undefined, error as Error);
+		}
+	}
+
+	/** Ends the attempt if nothing of the request was written yet. */
+	withdraw(): void {
+		if (!this._isFinished && !this._controller) {
+			this._finish();
+			this._events.onFailure({isUnsent: true, reason: withdrawnReason});
+		}
+	}
 
 	abort(): void {
 		if (!this._isFinished) {
-			this._isFinished = true;
+			this._finish();
 			this._controller?.abort(new Error('the attempt was aborted'));
 		}
 	}
@@ -141,6 +199,11 @@
 			throw new Error(withdrawnReason);
 		}
 
+		if (this._options.clock.now() - this._encodedAt > maxHeaderAgeMs) {
+			this._isOutdated = true;
+			throw new Error('the headers are out of date');
+		}
+
 		this._controller = controller;
 	}
 
@@ -163,17 +226,30 @@
 
 	onResponseEnd(): void {
 		if (!this._isFinished) {
-			this._isFinished = true;
+			this._finish();
 			this._events.onEnd();
 		}
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController | undefined, error: Error): void {
-		if (!this._isFinished) {
-			this._isFinished = true;
+		if (this._isOutdated) {
+			this._isOutdated = false;
+			// The connection is free when the client has dropped the request.
+			queueMicrotask(() => {
+				if (!this._isFinished) {
+					this.dispatch();
+				}
+			});
+		} else if (!this._isFinished) {
+			this._finish();
 			const {code, message} = (error.cause ?? error) as {code?: string; message: string};
 			// Before `onRequestStart` the client has no connection, so nothing was written.
 			this._events.onFailure({isUnsent: this._controller === undefined, reason: code ?? message});
 		}
 	}
+
+	private _finish(): void {
+		this._isFinished = true;
+		this._options.target.attempts.delete(this);
+	}
 }
