--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -117,7 +117,7 @@
 	}
 
 	takeRetry(): boolean {
-		return this._check.isAllowed && this._attempts.takeRetry();
+		return this._check.allowsRetry && this._attempts.takeRetry();
 	}
 
 	/** Delivers the answer of an earlier attempt, as far as it has arrived, in place of the attempt in flight. */
--- a/src/common/forwarding/write-check.ts
+++ b/src/common/forwarding/write-check.ts
@@ -35,6 +35,11 @@
 		return isAllowed;
 	}
 
+	/** Whether the request could be sent again now, as far as it does not depend on the server. */
+	get allowsRetry(): boolean {
+		return this._services.lease.isValid() && this.isAllowed;
+	}
+
 	/** Whether the request may be written to a backend server now. */
 	allowsServer(record: ServerRecord): boolean {
 		const {pool} = this._services;
--- a/src/testing/forwarder-fixture.ts
+++ b/src/testing/forwarder-fixture.ts
@@ -115,8 +115,11 @@
 	const quarantinedParts = new Set<string>();
 	const quarantinedRequests = new Set<string>();
 	const crashes: CrashObserver = {...nullCrashes};
+	const peers = new PeerHosts('self');
+	const peerPort = new ScriptedPort();
+	const reach = {...nullReach};
 	const forwarder = createTestForwarder({
-		clock, lease, random, pool, port, crashes, counters, logger, confirmConfiguration: () => confirmationsAsked.push(clock.now()), budget: () => budget, state: () => ({
+		clock, lease, random, pool, port, crashes, counters, logger, peers, peerPort, reach, confirmConfiguration: () => confirmationsAsked.push(clock.now()), budget: () => budget, state: () => ({
 			table, rollouts, quarantinedParts, quarantinedRequests, hostCount: 1, hostIndex: 0,
 		}),
 	});
@@ -131,6 +134,6 @@
 	};
 
 	return {
-		clock, pool, port, lease, forwarder, send, budget, quarantinedParts, quarantinedRequests, crashes, apply, replaceTable, route, rollouts, confirmationsAsked, counters, logger,
+		clock, pool, port, lease, forwarder, send, budget, quarantinedParts, quarantinedRequests, crashes, peers, peerPort, reach, apply, replaceTable, route, rollouts, confirmationsAsked, counters, logger,
 	};
 }
