Answer 502 where a server's status would promise what it does not state

Callers of requests that may run once were passed a server's 503, 429, 408 or 421 that did not state that the request had not run.

Cause: a 503 without the statement counted as a failure of a server that ran the request, and was passed on unchanged; 408 and 429 counted as errors that the caller had made; each 421 counted as not run.

An answer with one of these statuses and without the statement now never reaches the caller. A request that may be repeated goes to another server like after any failure, if attempts, time and the budget allow it; in all other cases the router answers 502, which promises nothing, without the server's headers and signature.

--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -283,13 +283,18 @@
 		}
 
 		this._mayHaveRun = true;
-		this._records.recordAnswer(attempt, verdict === headVerdict.failed);
+		this._records.recordAnswer(attempt, verdict === headVerdict.failed || verdict === headVerdict.unproven);
 		if (!isSuccess(head) && this._escalation.isHolding) {
 			this.abandon(attempt, `status-${head.status}`);
 			this._escalation.deliver();
 			return;
 		}
 
+		if (verdict === headVerdict.unproven) {
+			this._onUnproven(attempt, head);
+			return;
+		}
+
 		if (verdict === headVerdict.failed && !attempt.isHandedOver && this._attempts.isRepeatable && this.takeRetry()) {
 			this.abandon(attempt, `status-${head.status}`);
 			this._attempt();
@@ -406,6 +411,17 @@
 		}
 	}
 
+	/** Handles an answer that must not reach the caller: its status would promise that the request has not run, which is not known. */
+	private _onUnproven(attempt: Attempt, {status}: AnswerHead): void {
+		const reason = `unproven-${status}`;
+		this.abandon(attempt, reason);
+		if (this._attempts.isRepeatable && !attempt.isHandedOver) {
+			this._retryOrEnd(reason);
+		} else {
+			this._endWithoutAnswer(reason);
+		}
+	}
+
 	/** Handles an attempt that may have run but has no usable answer. */
 	private _fail(attempt: Attempt, reason: string): void {
 		this._mayHaveRun = true;
--- a/src/common/forwarding/head-verdict.ts
+++ b/src/common/forwarding/head-verdict.ts
@@ -4,8 +4,10 @@
 export const headVerdict = {
 	/** It belongs to another request. */
 	foreign: 'answer-of-another-request',
-	/** The server states that it did not run the request, or is not the intended one. */
+	/** The server states that it did not run the request. */
 	refused: 'refused',
+	/** Its status tells a caller that the request has not run, but the server does not state that. */
+	unproven: 'unproven',
 	/** The server ran the request and failed. */
 	failed: 'failed',
 	/** It cannot be delivered: an unsigned success, or an error in the middle of a stream. */
@@ -15,6 +17,9 @@
 } as const;
 export type HeadVerdict = typeof headVerdict[keyof typeof headVerdict];
 
+/** Statuses by which callers conclude that a request has not run and may be sent again. */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /** Whether an answer reports success. */
 export function isSuccess({status}: AnswerHead): boolean {
 	return status >= 200 && status < 300;
@@ -26,10 +31,14 @@
 		return headVerdict.foreign;
 	}
 
-	if (head.isNotRun || head.isOtherServer) {
+	if (head.isNotRun) {
 		return headVerdict.refused;
 	}
 
+	if (notRunStatuses.has(head.status)) {
+		return headVerdict.unproven;
+	}
+
 	if (head.status >= 500) {
 		return headVerdict.failed;
 	}
--- a/src/testing/scripted-answers.ts
+++ b/src/testing/scripted-answers.ts
@@ -18,7 +18,7 @@
 		events.onEnd();
 	},
 	otherServer({events}: ScriptedAttempt) {
-		events.onHead(answerHead({status: 421, isOtherServer: true}));
+		events.onHead(answerHead({status: 421, isOtherServer: true, isNotRun: true}));
 		events.onEnd();
 	},
 	reset({events}: ScriptedAttempt) {
