--- a/src/common/forwarding/aged-decisions.test.ts
+++ b/src/common/forwarding/aged-decisions.test.ts
@@ -105,6 +105,20 @@
 	},
 ];
 
+// Guards against a request that comes to the same server again after its refusal, a copy of which would then look like a new one.
+it('does not admit a request again that a server has refused', () => {
+	const {port, send, replaceTable, route} = createForwarderFixture('once', {}, servers);
+	port.onAttempt = (attempt, index) => {
+		if (index === 0) {
+			replaceTable(testTable([{...route, repetition: 'idempotent'}], [shop]));
+			scriptedAnswers.notRun(attempt);
+		}
+	};
+
+	expect(send().refusal).toMatchObject({status: 503, ran: 'no'});
+	expect(port.attempts).toHaveLength(1);
+});
+
 // Guards against a request that is written under a decision which no longer holds, and against one that is lost because of that.
 it.each(changes)('does not write a request that waits for a connection when $name', async ({change, status, code, server, customer}) => {
 	const fixture = createForwarderFixture('once', {}, servers);
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -148,7 +148,8 @@
 
 	/** Handles a request that the configuration in force does not allow as it was admitted. */
 	private _readmitOrEnd(): void {
-		if (this._mayHaveRun || this._sink.isStarted || this._escalation.isHolding) {
+		// A server that has refused the request must not get it again: a copy of its refusal would look like a new one.
+		if (this._attempts.count > 0 || this._sink.isStarted) {
 			this._endWithoutAnswer('configuration-changed');
 		} else {
 			this._finish('admitted-again');
