--- a/src/common/forwarding/part-shares.test.ts
+++ b/src/common/forwarding/part-shares.test.ts
@@ -44,3 +44,16 @@
 	expect(shares.size).toBeLessThanOrEqual(1000);
 	expect(shares.share('popular', 20_000)).toBeGreaterThan(0.4);
 });
+
+// Guards against shares that are no number for good after one request, and before the first with work.
+it.each([Number.NaN, Infinity, -Infinity, -1, 0, 1e300])('does not count work of %d', work => {
+	const shares = new PartShares();
+	shares.record('p', work, 0);
+	expect(shares.share('p', 0)).toBe(0);
+	for (let index = 0; index < 10; index++) {
+		shares.record('p', 500, 0);
+	}
+
+	shares.record('p', work, 0);
+	expect(shares.share('p', 0)).toBeCloseTo(0.5, 5);
+});
--- a/src/common/forwarding/part-shares.ts
+++ b/src/common/forwarding/part-shares.ts
@@ -22,8 +22,12 @@
 		return this._work.size;
 	}
 
-	/** Records the work of a request. The unit is arbitrary. */
+	/** Records the work of a request. The unit is arbitrary. Work that is no positive number does not count. */
 	record(part: string | undefined, work: number, now: number): void {
+		if (!(work > 0 && work <= Number.MAX_SAFE_INTEGER)) {
+			return;
+		}
+
 		const weight = this._weight(now);
 		this._total += work * weight;
 		this._requests += weight;
@@ -37,7 +41,7 @@
 
 	/** Share of a part in the work of all requests, from 0 to 1. */
 	share(part: string, now: number): number {
-		if (this._requests === 0) {
+		if (this._total === 0) {
 			return 0;
 		}
 
