Confirm that a server is not registered before its leave is acknowledged

A control host acknowledged a DELETE of a backend server that its state did not list, without any effect. A host that was cut off or has just started may lack a registration at another host: the server counted as left, and stayed listed until its heartbeats had been missing for 15 s. The host now catches up with the leader before it says so, and answers 503 when it cannot.

--- a/src/common/host/control-host.ts
+++ b/src/common/host/control-host.ts
@@ -179,9 +179,19 @@
 		return result.status === 'accepted';
 	}
 
-	/** Removes a backend server from the directory; by default its current incarnation. Resolves when the removal is committed. */
+	/**
+	Removes a backend server from the directory; by default its current incarnation. Resolves when the removal is committed.
+
+	@throws ControlUnavailableError when the outcome is unknown, or when this host cannot confirm that the server is not registered.
+	*/
 	async leave(id: string, incarnation?: number): Promise<void> {
-		const known = incarnation ?? this._state.backendServers.get(id)?.incarnation;
+		let known = incarnation ?? this._state.backendServers.get(id)?.incarnation;
+		if (known === undefined) {
+			// The server may have registered at another host a moment ago.
+			await this._catchUp();
+			known = this._state.backendServers.get(id)?.incarnation;
+		}
+
 		if (known !== undefined) {
 			await this._propose({
 				type: 'backend-left', id, incarnation: known, at: this._options.clock.wallTime(),
