Forward a reset answer of a plain service as broken

A plain service's answer without a length whose connection was reset reached the caller as complete, billed as answered; and to HTTP/1.0 callers every answer that broke off was closed regularly, which completes it.

The plain handler used the HTTP client without the connector that reports resets, and `HttpServer` ended broken responses by `res.destroy()`. Now it uses `timedConnector`, as do the calls to model engines; the data of no bytes that the client reports on resume reach no reader; and `breakResponse` resets the connection where its regular close could complete the response, also when the daemon stops. The sink for forwarded requests uses the same function.

Looked at and left: `StreamSink` and `JsonSink` end a stream with its end mark `[DONE]` or an error event, a plain answer with its JSON, and engine answers count as complete only with `[DONE]`; messages between hosts, orders and ratings are JSON, of which a part does not parse.

Evidence: the new cases of plain-service.test.ts with a reset fail before, for HTTP/1.1 and HTTP/1.0 (200, complete).

--- a/src/daemon/http-caller-sink.ts
+++ b/src/daemon/http-caller-sink.ts
@@ -3,6 +3,7 @@
 import {answerFraming, type AnswerFraming} from '../common/forwarding/answer-framing.js';
 import {hasBody} from '../common/forwarding/has-body.js';
 import {type CallerSink, type Refusal} from '../common/forwarding/caller-sink.js';
+import {breakResponse} from './break-response.js';
 import {type CallerCodec} from './caller-codec.js';
 
 /** Sends the answer to a request over HTTP. */
@@ -51,17 +52,7 @@
 	}
 
 	break(): void {
-		if (this._res.writableFinished) {
-			return;
-		}
-
-		const {socket} = this._res;
-		if (socket && this._framing === answerFraming.close) {
-			// A regular close is how such an answer ends when it is complete.
-			socket.resetAndDestroy();
-		} else {
-			this._res.destroy();
-		}
+		breakResponse(this._res, this._framing === answerFraming.close);
 	}
 
 	refuse(refusal: Refusal): void {
--- a/src/daemon/http-server.ts
+++ b/src/daemon/http-server.ts
@@ -4,6 +4,7 @@
 import {type AddressInfo} from 'node:net';
 import {type Disposable} from '../common/base/disposable.js';
 import {RefusalError} from '../common/entry/refusal-error.js';
+import {breakResponse} from './break-response.js';
 import {asRefusal, sendRefusal} from './http-error.js';
 import {type ListenAddress} from './listen-address.js';
 
@@ -17,14 +18,14 @@
 export class HttpServer implements Disposable {
 	private readonly _server: Server;
 	private _handler: HttpHandler | undefined;
-	private _active = 0;
+	private readonly _open = new Set<ServerResponse>();
 	private _isDraining = false;
 
 	constructor() {
 		this._server = createServer((req, res) => {
-			this._active++;
+			this._open.add(res);
 			res.once('close', () => {
-				this._active--;
+				this._open.delete(res);
 			});
 			if (this._isDraining) {
 				res.setHeader('connection', 'close');
@@ -39,7 +40,7 @@
 
 	/** Number of requests in flight. */
 	get active(): number {
-		return this._active;
+		return this._open.size;
 	}
 
 	/** Starts to listen. @returns the bound address; for port 0 the operating system chooses the port. */
@@ -65,6 +66,10 @@
 
 	dispose(): void {
 		this._server.close();
+		for (const res of this._open) {
+			breakResponse(res, res.headersSent && !res.chunkedEncoding);
+		}
+
 		this._server.closeAllConnections();
 	}
 
@@ -77,7 +82,7 @@
 			await this._handler(req, res, parseUrl(req.url ?? '/'));
 		} catch (error) {
 			if (res.headersSent) {
-				res.destroy();
+				breakResponse(res, !res.chunkedEncoding);
 			} else {
 				sendRefusal(res, asRefusal(error));
 				// Discards the rest of the body, because some callers read the refusal only after they have sent all of it.
--- a/src/daemon/plain-handler.ts
+++ b/src/daemon/plain-handler.ts
@@ -10,6 +10,8 @@
 import {RefusalError} from '../common/entry/refusal-error.js';
 import {type PlainExchange, PlainRequest} from '../common/entry/plain-request.js';
 import {isConnectError} from '../node/connect-error.js';
+import {nonEmptyData} from '../node/non-empty-data.js';
+import {timedConnector} from '../node/timed-connector.js';
 import {idHeaders, setIdHeaders} from './answer-headers.js';
 import {callerSignal} from './caller-signal.js';
 import {
@@ -20,6 +22,8 @@
 
 /** Methods that are idempotent by the definition of HTTP. */
 const idempotentMethods = new Set(['GET', 'HEAD', 'PUT', 'DELETE', 'OPTIONS', 'TRACE']);
+/** Connect timeout in milliseconds. */
+const connectTimeoutMs = 2000;
 /** Headers that are not forwarded: hop-by-hop headers and those meant for catkinbeam itself. */
 const droppedHeaders = new Set(['connection', 'keep-alive', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'proxy-authorization', 'proxy-connection', 'host', 'authorization', 'expect']);
 
@@ -28,8 +32,8 @@
 	/** Last chunk of each answer, which is sent once the request is billed. */
 	private readonly _lastChunks = new WeakMap<ServerResponse, Uint8Array | undefined>();
 	private readonly _agent = new Agent({
-		connect: {timeout: 2000}, pipelining: 1, headersTimeout: 0, bodyTimeout: 0,
-	});
+		connect: timedConnector(connectTimeoutMs), pipelining: 1, headersTimeout: 0, bodyTimeout: 0,
+	}).compose(nonEmptyData);
 
 	constructor(private readonly _services: EntryServices, private readonly _ids: {next(): string}, private readonly _entry: string) {}
 
--- a/src/daemon/plain-service.test.ts
+++ b/src/daemon/plain-service.test.ts
@@ -3,9 +3,10 @@
 	afterAll, beforeAll, beforeEach, expect, it,
 } from 'vitest';
 import {request} from 'undici';
-import {type EmulatedPlainService} from '../emulator/emulated-plain-service.js';
+import {type EmulatedPlainService, unframedText} from '../emulator/emulated-plain-service.js';
 import {EmbeddedCaller, refusalOf} from '../quickstart/embedded-caller.js';
 import {EmbeddedSystem} from '../quickstart/embedded-system.js';
+import {exchange} from '../testing/raw-answer.js';
 
 let system: EmbeddedSystem;
 let caller: EmbeddedCaller;
@@ -21,6 +22,7 @@
 	for (const service of system.plainServices.values()) {
 		service.calls.clear();
 		service.resetsAfterCall = false;
+		service.unframedEnd = undefined;
 	}
 });
 
@@ -121,6 +123,20 @@
 	expect(size).toBe(count * bytes);
 });
 
+// Guards against an answer that is reset on the way and forwarded as complete.
+it.each((['end', 'reset'] as const).flatMap(end => ['1.1', '1.0'].map(version => ({end, version}))))('forwards an answer without a length to a caller of HTTP/$version: $end', async ({end, version}) => {
+	for (const service of serversOf('booking')) {
+		service.unframedEnd = end;
+	}
+
+	const {status, body, isWhole} = await exchange(Number(new URL(system.callerUrl()).port), `GET /services/booking/list HTTP/${version}\r\nhost: h\r\nauthorization: Bearer ${caller.key}\r\n\r\n`, 5000);
+	expect(isWhole).toBe(end === 'end');
+	// The head may still be buffered when the answer breaks off.
+	expect(status).toBeOneOf(isWhole ? [200] : [200, undefined]);
+	expect((unframedText + unframedText).startsWith(body)).toBe(true);
+	expect(body.length === 2 * unframedText.length).toBe(end === 'end');
+});
+
 // Guards against a body without a content length that exceeds the limit of its service.
 it('refuses a streamed body over the limit', async () => {
 	for (const service of serversOf('paired')) {
--- a/src/node/http-engine-client.ts
+++ b/src/node/http-engine-client.ts
@@ -4,6 +4,7 @@
 import {type EngineAnswer, type EngineCall, type EngineClient} from '../common/entry/engine-client.js';
 import {EngineHttpExchange} from './engine-http-exchange.js';
 import {engineHeaders} from './engine-protocol.js';
+import {timedConnector} from './timed-connector.js';
 
 /** Connect timeout in milliseconds. */
 const connectTimeoutMs = 2000;
@@ -11,7 +12,7 @@
 /** Calls model engines through the HTTP chat completion interface. */
 export class HttpEngineClient implements EngineClient, Disposable {
 	private readonly _agent = new Agent({
-		connect: {timeout: connectTimeoutMs}, pipelining: 1, headersTimeout: 0, bodyTimeout: 0,
+		connect: timedConnector(connectTimeoutMs), pipelining: 1, headersTimeout: 0, bodyTimeout: 0,
 	});
 
 	async call(call: EngineCall, signal: AbortSignal): Promise<EngineAnswer> {
