Give each host its part of a repeat limit that holds for the fleet

Callers saw 502 and cut streams after the crash of servers, although their requests could be repeated and had time left: each host saved at most four repeats a service, whatever the limit of the fleet allowed, and the slack of the settings was read and used nowhere.

Ruled out: attempts and time; both were left. Ruled out too: a grant of shares by the leader; repeats are needed just when the leader may be away.

A host now counts its own requests and repeats over the window of the limit. The part that is proportional to requests needs no coordination, because the requests of all hosts add up. The slack is divided by the number of hosts; a share grows only when hosts that left can't have used theirs in the same window, and a new host uses half of it until all others know of it. Escalations leave a reserve for retries. A request that another host has handed over is counted there only.

Not done: shares by traffic. Callers pick hosts at random, so that equal shares of the slack fit, and no host tells others its traffic today.

--- a/src/common/forwarding/escalation.ts
+++ b/src/common/forwarding/escalation.ts
@@ -3,6 +3,7 @@
 import {type AdmittedRequest} from './forwarder.js';
 import {type ForwardServices} from './forward-services.js';
 import {type AnswerTimes} from './model-speed.js';
+import {type RepeatPurpose, repeatPurpose} from './repeat-budget.js';
 import {type RequestModel} from './request-model.js';
 
 /**
@@ -18,8 +19,8 @@
 	readonly startedAt: number;
 	readonly deadlineAt: number;
 	readonly model: RequestModel;
-	/** Takes a retry from the budget. @returns whether another attempt is allowed. */
-	takeRetry(): boolean;
+	/** Takes a repeat from the budget. @returns whether another attempt is allowed. */
+	takeRepeat(purpose: RepeatPurpose): boolean;
 	/** Sends the request to the larger model, at a server that may have been tried with the smaller one. */
 	askLarger(): void;
 	/** Delivers a held answer; aborts an attempt with the larger model that is in flight. */
@@ -59,7 +60,7 @@
 		}
 
 		const expected = model.expected(larger);
-		const isAsked = model.escalates(confidence, expected) && this._req.takeRetry();
+		const isAsked = model.escalates(confidence, expected) && this._req.takeRepeat(repeatPurpose.escalation);
 		this._req.note(describeDecision(isAsked, confidence, expected));
 		if (!isAsked) {
 			return false;
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -19,6 +19,7 @@
 import {guardedEvents} from './guarded-events.js';
 import {CrashGuard} from './crash-guard.js';
 import {headVerdict, isSuccess, judgeHead} from './head-verdict.js';
+import {type RepeatPurpose, repeatPurpose} from './repeat-budget.js';
 import {RequestModel} from './request-model.js';
 import {RequestAttempts} from './request-attempts.js';
 import {nullReleaseObserver} from './null-release-observer.js';
@@ -86,7 +87,11 @@
 
 	start(): void {
 		const {clock, budget} = this._services;
-		budget(this._admitted.service).recordRequest();
+		// A request that was handed over counts at the host that its caller has sent it to.
+		if (this._admitted.req.attemptsLeft === undefined) {
+			budget(this._admitted.service).recordRequest();
+		}
+
 		this._timer = clock.setTimer(this._remainingMs, () => {
 			this._timeOut();
 		});
@@ -116,8 +121,8 @@
 		this._sendToBest(new Set());
 	}
 
-	takeRetry(): boolean {
-		return this._check.allowsRetry && this._attempts.takeRetry();
+	takeRepeat(purpose: RepeatPurpose): boolean {
+		return this._check.allowsRetry && this._attempts.takeRepeat(purpose);
 	}
 
 	/** Delivers the answer of an earlier attempt, as far as it has arrived, in place of the attempt in flight. */
@@ -296,7 +301,7 @@
 			return;
 		}
 
-		if (verdict === headVerdict.failed && !attempt.isHandedOver && this._attempts.isRepeatable && this.takeRetry()) {
+		if (verdict === headVerdict.failed && !attempt.isHandedOver && this._attempts.isRepeatable && this.takeRepeat(repeatPurpose.retry)) {
 			this.abandon(attempt, `status-${head.status}`);
 			this._attempt();
 			return;
@@ -318,7 +323,7 @@
 	/** Asks another backend server when the current one has sent nothing for too long. Without a retry, the request waits on. */
 	private _onStall(): void {
 		const attempt = this._current;
-		if (!attempt || attempt.isFinished || !this.takeRetry()) {
+		if (!attempt || attempt.isFinished || !this.takeRepeat(repeatPurpose.retry)) {
 			return;
 		}
 
@@ -454,7 +459,7 @@
 			return;
 		}
 
-		if (this._crashes.mayRetry && this.takeRetry()) {
+		if (this._crashes.mayRetry && this.takeRepeat(repeatPurpose.retry)) {
 			this._attempt();
 		} else {
 			this._endWithoutAnswer(reason);
--- a/src/common/forwarding/forward-services.ts
+++ b/src/common/forwarding/forward-services.ts
@@ -3,7 +3,6 @@
 import {type Logger} from '../base/logger.js';
 import {type ConfigLease} from '../control/config-lease.js';
 import {type ServiceRollout} from '../control/service-rollout.js';
-import {type RetryBudget} from '../entry/retry-budget.js';
 import {type BackendPort} from './backend-port.js';
 import {type CrashObserver} from './crash-observer.js';
 import {type ModelPolicy} from './model-policy.js';
@@ -12,6 +11,7 @@
 import {type PlaceQueue} from './place-queue.js';
 import {type Placement} from './placement.js';
 import {type ReleaseObserver} from './release-observer.js';
+import {type RepeatBudget} from './repeat-budget.js';
 import {type RequestDigest} from './request-digest.js';
 import {type RouteTable} from './route-table.js';
 import {type ServerPool} from './server-pool.js';
@@ -76,8 +76,8 @@
 	readonly crashes: CrashObserver;
 	readonly digests: RequestDigest;
 	readonly sessions: SessionStickiness;
-	/** Returns the retry budget of a service. */
-	readonly budget: (service: string) => RetryBudget;
+	/** Returns the budget for repeats of the requests of a service. */
+	readonly budget: (service: string) => RepeatBudget;
 	/** Returns a random number in [0, 1). */
 	readonly random: () => number;
 }
--- a/src/common/forwarding/request-attempts.ts
+++ b/src/common/forwarding/request-attempts.ts
@@ -1,6 +1,7 @@
 import {type AdmittedRequest} from './forwarder.js';
 import {type ForwardServices} from './forward-services.js';
 import {mayRepeat} from './may-repeat.js';
+import {type RepeatPurpose} from './repeat-budget.js';
 
 /** Minimum time in milliseconds until the deadline for another attempt. */
 const minRetryTimeMs = 50;
@@ -50,9 +51,9 @@
 		this._count--;
 	}
 
-	/** Takes a retry from the budget, if attempts and time are left. @returns whether the request may be sent again. */
-	takeRetry(): boolean {
+	/** Takes a repeat from the budget, if attempts and time are left. @returns whether the request may be sent again. */
+	takeRepeat(purpose: RepeatPurpose): boolean {
 		const {service} = this._admitted;
-		return this._count < this._maxAttempts && this.hasTime && this._services.budget(service).take();
+		return this._count < this._maxAttempts && this.hasTime && this._services.budget(service).take(purpose);
 	}
 }
--- a/src/common/host/forward-host.test.ts
+++ b/src/common/host/forward-host.test.ts
@@ -42,7 +42,7 @@
 		digests: {digest: ({message}) => message.target},
 		parseRouting: source => JSON.parse(source) as RoutingConfig,
 		codec: plainTextCodec,
-		retryShare: 0.1,
+		repeatLimit: {share: 0.1, slack: 10, windowMs: 10_000},
 		configurationBoundMs: boundMs,
 		sessionMs: 5000,
 	});
--- a/src/common/host/forward-host.ts
+++ b/src/common/host/forward-host.ts
@@ -10,11 +10,12 @@
 import {type RandomSource} from '../base/random-source.js';
 import {type TextCodec} from '../base/text-codec.js';
 import {ControlFollower} from '../control/control-follower.js';
+import {leaseMs} from '../control/control-times.js';
 import {serviceRolloutState} from '../control/service-rollout.js';
 import {type EntryHost} from '../control/entry-host.js';
 import {KnownVoters} from '../control/voters-section.js';
-import {RetryBudget} from '../entry/retry-budget.js';
 import {type BackendPort} from '../forwarding/backend-port.js';
+import {FleetRepeatBudget, type RepeatLimit} from '../forwarding/fleet-repeat-budget.js';
 import {Forwarder} from '../forwarding/forwarder.js';
 import {type ForwardState} from '../forwarding/forward-services.js';
 import {type RequestDigest} from '../forwarding/request-digest.js';
@@ -28,6 +29,7 @@
 import {RouteTable} from '../forwarding/route-table.js';
 import {type RoutingConfig} from '../forwarding/routing-config.js';
 import {ServerPool} from '../forwarding/server-pool.js';
+import {SlackShare} from '../forwarding/slack-share.js';
 import {ReleaseRecorder} from '../release/release-recorder.js';
 import {StickySessions} from '../release/sticky-sessions.js';
 
@@ -35,10 +37,6 @@
 const acceptedConfidence = 55;
 /** Safety factor on the expected times of the largest model's answers, so that few of them are late. */
 const latencyMargin = 1;
-/** Fraction of the allowed retries that hosts use; the rest covers hosts that start with a full budget. */
-const retryShareFactor = 0.85;
-/** Maximum number of retries that one host accumulates; small, because the hosts do not coordinate their budgets. */
-const maxSavedRetries = 4;
 
 /** Options of `ForwardHost`. */
 export interface ForwardHostOptions {
@@ -59,8 +57,8 @@
 	readonly parseRouting: (source: string) => RoutingConfig;
 	/** Codec of the contents of routing configurations; the same as that of the control hosts. */
 	readonly codec: TextCodec;
-	/** Share of the requests of a service that all hosts together may retry. */
-	readonly retryShare: number;
+	/** Limit on the repeats of the requests of a service over all hosts together. */
+	readonly repeatLimit: RepeatLimit;
 	/** Maximum time in milliseconds from the acknowledgement of a configuration until all hosts act by it. */
 	readonly configurationBoundMs: number;
 	/** Time in milliseconds after a request for which its session counts as active. */
@@ -77,7 +75,8 @@
 	private readonly _peers: PeerHosts;
 	private readonly _voters: KnownVoters;
 	private readonly _recorder: ReleaseRecorder;
-	private readonly _budgets = new Map<string, RetryBudget>();
+	private readonly _budgets = new Map<string, FleetRepeatBudget>();
+	private readonly _slackShare: SlackShare;
 	private readonly _onRouting = this._store.add(new Emitter<RoutingConfig>());
 	private readonly _onServers = this._store.add(new Emitter<ReadonlySet<string>>());
 	private readonly _onPeers = this._store.add(new Emitter<ReadonlySet<string>>());
@@ -92,6 +91,7 @@
 		this._voters = new KnownVoters(seeds);
 		this._peers = new PeerHosts(entry.host);
 		this._places = this._store.add(new PlaceQueue(clock));
+		this._slackShare = new SlackShare(clock, leaseMs, leaseMs + _options.repeatLimit.windowMs);
 		this.follower = this._store.add(new ControlFollower({..._options, voters: () => this._voters.hosts, sections: []}));
 		this._recorder = this._store.add(new ReleaseRecorder(service => {
 			const rollout = this.follower.view.serviceRollouts.get(service);
@@ -186,10 +186,10 @@
 		};
 	}
 
-	private _budget(service: string): RetryBudget {
+	private _budget(service: string): FleetRepeatBudget {
 		let budget = this._budgets.get(service);
 		if (!budget) {
-			budget = new RetryBudget(this._options.retryShare * retryShareFactor, maxSavedRetries);
+			budget = new FleetRepeatBudget(this._options.clock, this._options.repeatLimit, () => this._slackShare.value);
 			this._budgets.set(service, budget);
 		}
 
@@ -203,6 +203,7 @@
 		this._hostIndex = Math.max(0, [...view.entryHosts.keys()].sort().indexOf(this._options.entry.host));
 		this._onServers.fire(new Set([...view.backendServers.values()].map(({address}) => address)));
 		this._peers.update(view.entryHosts.values());
+		this._slackShare.update(view.entryHosts.size, view.entryHosts.get(this._options.entry.host)?.incarnation === this._options.entry.incarnation);
 		this._onPeers.fire(this._peers.addresses);
 		const {routing} = view;
 		if (routing && routing.revision !== this._routingRevision) {
--- a/src/testing/configuration-simulation.ts
+++ b/src/testing/configuration-simulation.ts
@@ -219,7 +219,7 @@
 				return parseRoutingSample(source);
 			},
 			codec: this._chargedCodec(processor),
-			retryShare: 0.1,
+			repeatLimit: {share: 0.1, slack: 10, windowMs: 10_000},
 			configurationBoundMs: 2000,
 			sessionMs: 60_000,
 		});
