Tell a reset that arrives together with data from the end of an answer

An answer without a length counted as complete when its server reset the connection right after data: libuv reports the end of the stream in place of ECONNRESET when both are found in one poll. A busy host meets this more often than an idle one, because more arrives between two polls.

The socket of a reset connection has no peer any more, while one that its peer has closed regularly still has; so an end without a peer is reported as a reset.

Evidence: the cases "reset at once" of answer-ends.test.ts; before, the one without a length and without a pause of its reader ends as complete, and the run of all of them had to be killed after 25 s.

--- a/src/node/answer-ends.test.ts
+++ b/src/node/answer-ends.test.ts
@@ -89,7 +89,7 @@
 
 // Guards against an answer that is reset and counts as complete, and against a host that ends by an assertion of the HTTP client
 // when a server closes or resets a connection while the caller does not read.
-it.each(Object.keys(framings).flatMap(framing => [0, 30].flatMap(pauseMs => (['reset', 'whole', 'whole at once'] as const).map(ending => ({framing: framing as Framing, pauseMs, ending})))))('reports an answer ($framing) as $ending to a reader that pauses for $pauseMs ms', async ({framing, pauseMs, ending}) => {
+it.each(Object.keys(framings).flatMap(framing => [0, 30].flatMap(pauseMs => (['reset', 'reset at once', 'whole', 'whole at once'] as const).map(ending => ({framing: framing as Framing, pauseMs, ending})))))('reports an answer ($framing) as $ending to a reader that pauses for $pauseMs ms', async ({framing, pauseMs, ending}) => {
 	const [head, first, second] = framings[framing];
 	const address = await listen(socket => {
 		if (ending === 'whole at once') {
@@ -97,6 +97,13 @@
 			return;
 		}
 
+		if (ending === 'reset at once') {
+			// The data and the reset arrive together.
+			socket.write(head + first);
+			socket.resetAndDestroy();
+			return;
+		}
+
 		socket.write(head + first, () => {
 			setTimeout(() => {
 				if (ending === 'reset') {
@@ -108,8 +115,8 @@
 		});
 	});
 	const answer = await send(address, pauseMs);
-	expect(answer.ending).toBe(ending === 'reset' ? 'failure' : 'end');
-	expect(answer.bytes).toEqual(ending === 'reset' ? expect.any(Number) : sent);
+	expect(answer.ending).toBe(ending.startsWith('reset') ? 'failure' : 'end');
+	expect(answer.bytes).toEqual(ending.startsWith('reset') ? expect.any(Number) : sent);
 	await delay(pauseMs);
 });
 
--- a/src/node/strict-socket.ts
+++ b/src/node/strict-socket.ts
@@ -15,10 +15,16 @@
 	}
 }
 
+/** A reset of which Node.js reports only the end of the connection. */
+class HiddenResetError extends Error {
+	readonly code = resetCode;
+}
+
 /**
 Makes a connection report its end to the HTTP client as what it is, and bounds what it keeps in memory while an answer is paused.
 
-The client takes a reset by its code for the regular end of an answer that ends with its connection, so it gets resets as
+Node.js reports a reset as the regular end when it arrives together with data; the socket has no peer any more then. The client
+takes a reset by its code for the regular end of an answer that ends with its connection, so it gets resets as
 other errors. It fails an assertion, outside of any request, when a connection ends while an answer is paused, so the end
 comes only after a read that finds no bytes. When an answer goes on, the client takes all bytes that have arrived and gives back
 those that it cannot pass on; each time, the connection would read as many again.
@@ -26,6 +32,16 @@
 export function makeStrict(socket: Socket): void {
 	const destroy = socket.destroy.bind(socket);
 	socket.destroy = (error?: Error) => destroy(isReset(error) ? new ConnectionResetError(error) : error);
+	const emit = socket.emit.bind(socket);
+	socket.emit = (event: string | symbol, ...args: unknown[]) => {
+		if (event === 'end' && socket.remoteAddress === undefined) {
+			socket.destroy(new HiddenResetError('the connection was reset after its last data'));
+			return true;
+		}
+
+		return emit(event, ...args);
+	};
+
 	const read = socket.read.bind(socket) as (size?: number) => unknown;
 	// A read without a size that takes the last byte also ends the stream. Without bytes, only one without a size asks for more.
 	socket.read = (size = Math.min(socket.readableLength, maxReadBytes) || undefined) => read(size);
