Refuse a request whose held answer is not complete when the process ends

At the end of a stop a held answer that was still under way was begun and broken off at once. An HTTP/1.0 caller got head, events and reset together, and one that uses libuv took that for a regular end. Nothing has been sent to such a caller, so the request is refused instead; a held answer that is complete is still delivered.

--- a/src/common/forwarding/escalation.ts
+++ b/src/common/forwarding/escalation.ts
@@ -97,6 +97,13 @@
 		}
 	}
 
+	/** Aborts the held attempt, if its answer is not complete. */
+	dropIncomplete(reason: string): void {
+		if (this._held?.hasEnded === false) {
+			this.drop(reason);
+		}
+	}
+
 	private _release(): Attempt | undefined {
 		const held = this._held;
 		this._held = undefined;
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -110,11 +110,8 @@
 
 	/** Ends the request because the process ends: with a held answer that is complete, or else visibly incomplete. */
 	stop(): void {
+		this._escalation.dropIncomplete(stoppingReason);
 		this._cutOff(stoppingReason);
-		if (!this._isFinished) {
-			// A held answer had begun in its place.
-			this._cutOff(stoppingReason);
-		}
 	}
 
 	askLarger(): void {
