--- a/src/soak/caller-connection.ts
+++ b/src/soak/caller-connection.ts
@@ -32,6 +32,8 @@
 	exchanges = 0;
 	/** Bytes that came while no request was waiting. */
 	idleBytes = '';
+	/** Local port, once the connection is open. */
+	port: number | undefined;
 	private readonly _socket: Socket;
 	private _isOpen = false;
 	private _isEnded = false;
@@ -42,6 +44,7 @@
 		this._socket = connect({host, port, noDelay: true});
 		this._socket.once('connect', () => {
 			this._isOpen = true;
+			this.port = this._socket.localPort;
 		});
 		this._socket.on('data', bytes => {
 			if (this._onBytes) {
--- a/src/soak/tcp-proxy.ts
+++ b/src/soak/tcp-proxy.ts
@@ -27,6 +27,8 @@
 	private readonly _server: Server;
 	private readonly _sockets = new Set<Socket>();
 	private _state: LinkState = linkState.open;
+	/** Ports of the callers whose connections the target did not accept. */
+	private readonly _refusedPorts = new Set<number>();
 
 	constructor(private readonly _listen: {host: string; port: number}, private readonly _target: {host: string; port: number}, private readonly _clock: Clock) {
 		this._server = createServer({allowHalfOpen: true}, socket => {
@@ -34,6 +36,11 @@
 		});
 	}
 
+	/** Whether the target did not accept the connection from a port. */
+	isRefused(port: number | undefined): boolean {
+		return port !== undefined && this._refusedPorts.has(port);
+	}
+
 	async start(): Promise<void> {
 		return new Promise((resolve, reject) => {
 			this._server.once('error', reject);
@@ -68,6 +75,16 @@
 
 		const upstream = connect({...this._target, allowHalfOpen: true});
 		this._sockets.add(upstream);
+		const port = client.remotePort;
+		const onRefused = () => {
+			this._refusedPorts.add(port ?? 0);
+		};
+
+		this._refusedPorts.delete(port ?? 0);
+		upstream.once('error', onRefused);
+		upstream.once('connect', () => {
+			upstream.off('error', onRefused);
+		});
 		this._forward(client, upstream, true);
 		this._forward(upstream, client, false);
 	}
