--- a/src/soak/caller-connection.ts
+++ b/src/soak/caller-connection.ts
@@ -54,7 +54,8 @@
 			}
 		});
 		this._socket.once('end', () => {
-			this._finish(true);
+			// Node.js reports a reset that comes with the last bytes as an end, but then there is no peer any more.
+			this._finish(this._socket.remoteAddress !== undefined);
 		});
 		this._socket.once('error', () => {
 			this._finish(false);
--- a/src/soak/tcp-proxy.ts
+++ b/src/soak/tcp-proxy.ts
@@ -103,6 +103,12 @@
 			});
 		});
 		from.on('end', () => {
+			// Node.js reports a reset that comes with the last bytes as an end, but then there is no peer any more.
+			if (!isRequest && from.remoteAddress === undefined) {
+				to.resetAndDestroy();
+				return;
+			}
+
 			this._deliver(isRequest, delayed, () => to.end());
 		});
 		from.on('error', () => {
