Give no server up for its silence while no other one can answer

Callers got 502 after 1 s of the 2.5 s that they had, and streams were cut, although their servers were sound and still at work: a request that may be repeated was taken from a server that had sent nothing for the target latency (a stream: for twice its target pause), the next server was given up in the same way, and when none was left the request ended.

Cause: the decision to give up looked at the budget and not at whether any server could take the request.

A silent server is given up only if another one can take the request at once, or when the host has lost its links and may hand the request over; otherwise the request waits on and looks again after the same time, so that a server that becomes free later is still used.

Six new cases of stall.test.ts failed before (idempotent and streams, one and two servers, before the first event and after two); 121 tests around pass.

--- a/src/common/forwarding/answer-delivery.ts
+++ b/src/common/forwarding/answer-delivery.ts
@@ -20,13 +20,11 @@
 		answer: CallerAnswer,
 		admitted: Pick<AdmittedRequest, 'req' | 'route'>,
 		/** Called when the server in use has been silent for too long; undefined when no other server may be asked. */
-		private readonly _onStall: (() => void) | undefined,
+		private readonly _onStall: (() => boolean) | undefined,
 	) {
 		this._relay = new AnswerRelay(answer, admitted);
 		this._route = admitted.route;
-		this._stallWatch = new StallWatch(clock, () => {
-			_onStall?.();
-		});
+		this._stallWatch = new StallWatch(clock, () => _onStall?.() ?? false);
 	}
 
 	/** ID of the last event that the caller has received; undefined before the first one. */
--- a/src/common/forwarding/choose-server.ts
+++ b/src/common/forwarding/choose-server.ts
@@ -25,30 +25,30 @@
 	readonly isFull: boolean;
 }
 
+/** Whether a server may take an attempt at once: one that `chooseServer` would choose. */
+export function hasFreeServer(services: ForwardServices, admitted: AdmittedRequest, tried: ReadonlySet<string>): boolean {
+	return freeServers(services, admitted, tried).free.length > 0;
+}
+
 /**
 Chooses the backend server of an attempt: neither leaving nor in a pause, not tried, within its request limit, of the release that
 a roll-out assigns to the session, and with a free connection.
 */
-export function chooseServer(services: ForwardServices, {req, service}: AdmittedRequest, tried: ReadonlySet<string>): ServerChoice {
-	const {pool, placement, state, sessions, clock, zone} = services;
-	const parts = req.generation?.parts ?? [];
-	const rollout = state().rollouts.get(service);
-	const session = sessionOf({sessions}, {req});
-	const share = limitShare({clock, state});
-	const now = clock.now();
-	const untried = pool.notDraining(service).filter(record => !tried.has(record.key) && record.accepts(now) && record.allows(share, now));
-	const candidates = preferred(serversForRelease(rollout, session, untried, now), now);
-	const maxConnections = maxConnectionsOf(services, service);
-	const free = candidates.filter(({inFlight}) => inFlight < maxConnections);
+export function chooseServer(services: ForwardServices, admitted: AdmittedRequest, tried: ReadonlySet<string>): ServerChoice {
+	const {placement, state, sessions, clock, zone} = services;
+	const {req, service} = admitted;
+	const {candidates, free} = freeServers(services, admitted, tried);
 	if (free.length === 0) {
 		return {record: undefined, isFull: candidates.length > 0};
 	}
 
+	const parts = req.generation?.parts ?? [];
+	const rollout = state().rollouts.get(service);
 	// The last part belongs to this request, its session or its subject alone. The part before it stands for the longest prefix shared with other requests.
 	const affinityKey = parts.at(-2)?.id ?? parts[0]?.id;
 	const record = placement.choose({
 		service, affinityKey, subjectKey: parts.at(-1)?.id, work: workOf(req), zone,
-	}, free, now);
+	}, free, clock.now());
 	if (record && req.session !== undefined && record.server.release !== rollout?.target) {
 		sessions.recordRequest(req.session);
 	}
@@ -56,6 +56,18 @@
 	return {record, isFull: false};
 }
 
+/** Returns the servers that may take an attempt, and those of them with a free connection. */
+function freeServers(services: ForwardServices, {req, service}: AdmittedRequest, tried: ReadonlySet<string>): {readonly candidates: readonly ServerRecord[]; readonly free: readonly ServerRecord[]} {
+	const {pool, state, sessions, clock} = services;
+	const session = sessionOf({sessions}, {req});
+	const share = limitShare({clock, state});
+	const now = clock.now();
+	const untried = pool.notDraining(service).filter(record => !tried.has(record.key) && record.accepts(now) && record.allows(share, now));
+	const candidates = preferred(serversForRelease(state().rollouts.get(service), session, untried, now), now);
+	const maxConnections = maxConnectionsOf(services, service);
+	return {candidates, free: candidates.filter(({inFlight}) => inFlight < maxConnections)};
+}
+
 /** Expected work of a request, in the unit of a prompt token. */
 function workOf({generation}: ForwardRequest): number {
 	return generation ? generation.inputTokens + (tokensPerOutputToken * (generation.expectedOutputTokens ?? generation.maxOutputTokens)) : 1;
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -7,7 +7,9 @@
 import {CallerAnswer} from './caller-answer.js';
 import {type CallerSink, type Refusal} from './caller-sink.js';
 import {attemptTerms} from './attempt-terms.js';
-import {chooseServer, limitShare, pauseOfAllMs} from './choose-server.js';
+import {
+	chooseServer, hasFreeServer, limitShare, pauseOfAllMs,
+} from './choose-server.js';
 import {type EscalatingRequest, Escalation} from './escalation.js';
 import {type AnswerHead} from './forward-request.js';
 import {type ForwardServices} from './forward-services.js';
@@ -71,9 +73,7 @@
 		this._handOver = new HandOver(_services, _admitted);
 		this._answer = new CallerAnswer(_sink);
 		this._delivery = new AnswerDelivery(_services.clock, this._answer, _admitted, this._attempts.isRepeatable
-			? () => {
-				this._onStall();
-			}
+			? () => this._onStall()
 			: undefined);
 		this.model = new RequestModel(_services, _admitted, this.startedAt, this.deadlineAt);
 		this._records = new AttemptRecorder(_services, _admitted, this.model, this._crashes);
@@ -317,17 +317,23 @@
 		this._delivery.begin(head);
 	}
 
-	/** Asks another backend server when the current one has sent nothing for too long. Without a retry, the request waits on. */
-	private _onStall(): void {
+	/** Asks another backend server when the current one has sent nothing for too long. Without another one or a retry, the request waits on. @returns whether it does. */
+	private _onStall(): boolean {
 		const attempt = this._current;
-		if (!attempt || attempt.isFinished || !this.takeRepeat(repeatPurpose.retry)) {
-			return;
+		if (!attempt || attempt.isFinished) {
+			return false;
+		}
+
+		const isOtherFree = this._handOver.isLost || hasFreeServer(this._services, this._admitted, this._attempts.tried);
+		if (!isOtherFree || !this.takeRepeat(repeatPurpose.retry)) {
+			return true;
 		}
 
 		this._mayHaveRun = true;
 		this._records.recordStall(attempt);
 		this.abandon(attempt, 'stalled');
 		this._attempt();
+		return false;
 	}
 
 	private _onData(attempt: Attempt, chunk: Uint8Array): boolean {
--- a/src/common/forwarding/stall-watch.ts
+++ b/src/common/forwarding/stall-watch.ts
@@ -8,7 +8,8 @@
 	private _activeAt = 0;
 	private _isSuspended = false;
 
-	constructor(private readonly _clock: Clock, private readonly _onStall: () => void) {}
+	/** `_onStall` returns whether to wait on for the same time. */
+	constructor(private readonly _clock: Clock, private readonly _onStall: () => boolean) {}
 
 	/** Starts to watch for a pause of the given length in milliseconds; 0 stops watching. */
 	watch(limitMs: number): void {
@@ -45,11 +46,14 @@
 	private _schedule(delayMs: number): void {
 		this._timer = this._clock.setTimer(delayMs, () => {
 			const idleMs = this._isSuspended ? 0 : this._clock.now() - this._activeAt;
-			if (idleMs >= this._limitMs) {
-				this._timer = undefined;
-				this._onStall();
-			} else {
+			if (idleMs < this._limitMs) {
 				this._schedule(this._limitMs - idleMs);
+				return;
+			}
+
+			this._timer = undefined;
+			if (this._onStall()) {
+				this._schedule(this._limitMs);
 			}
 		});
 	}
--- a/src/common/forwarding/stall.test.ts
+++ b/src/common/forwarding/stall.test.ts
@@ -74,6 +74,38 @@
 	expect(sink.status).toBe(200);
 });
 
+// Guards against slow requests and streams that are ended although no other server is left that could answer them.
+it.each([
+	{kind: 'idempotent', servers: 1, events: 0},
+	{kind: 'idempotent', servers: 2, events: 0},
+	{kind: 'stream', servers: 1, events: 0},
+	{kind: 'stream', servers: 2, events: 0},
+	{kind: 'stream', servers: 1, events: 2},
+	{kind: 'stream', servers: 2, events: 2},
+] as const)('waits for the last of $servers servers: $kind after $events events', async ({kind, servers, events: count}) => {
+	const backends = Array.from({length: servers}, (_, index) => testBackend(`s${index}`));
+	const {clock, port, send} = createForwarderFixture(kind, {targetLatencyMs: targetMs, targetPauseMs: kind === 'stream' ? pauseMs : 0, timeoutMs: 20_000}, backends);
+	const sink = send({deadlineMs: 20_000});
+	for (let id = 1; id <= count; id++) {
+		if (id === 1) {
+			port.attempts[0]!.events.onHead(answerHead());
+		}
+
+		port.attempts[0]!.events.onData(encoder.encode(`id: ${id}\ndata: x\n\n`));
+	}
+
+	await clock.advance(10_000);
+	expect(port.attempts).toHaveLength(servers);
+	const {events} = port.attempts.at(-1)!;
+	if (count === 0 || servers > 1) {
+		events.onHead(answerHead());
+	}
+
+	events.onData(encoder.encode(`id: ${count + 1}\ndata: x\n\n`));
+	events.onEnd();
+	expect({status: sink.status, isEnded: sink.isEnded}).toEqual({status: 200, isEnded: true});
+});
+
 // Guards against a stalled stream that never ends because its server sends a few bytes now and then, and against cutting a slow
 // stream whose events arrive.
 it.each([
