Keep a server listed whose heartbeats a follower acknowledges

Callers saw: once backend servers sent their heartbeats to a control host that does not lead, and that acknowledged them, the leader removed all of them 15 s later. A server that registered at such a host later than 15 s after the start of the leadership was removed within a second.

Cause: BackendHeartbeats recorded heartbeats in the memory of the host that received them, and only the leader's memory counted. A server without a record there counted as silent since the start of the leadership.

Ruled out: a server that never sends to a follower. HeartbeatAddr is optional for the sender and ends with a failed heartbeat; then the next host of its list is called, and any host acknowledges.

Fix: a host that does not lead reports the heartbeats that it has received to the leader once a second, with their ages, and repeats a report that fails (control.heartbeats). While a heartbeat has waited for 5 s, the host acknowledges none, so that the server goes to the next host well within the 15 s.

A server whose heartbeats stop is still removed between 12 and 18 s later.

--- a/src/common/control/control-methods.ts
+++ b/src/common/control/control-methods.ts
@@ -6,6 +6,16 @@
 import {type RenewReply, type RenewRequest} from './renew-message.js';
 import {type RoutingContentReply, type RoutingContentRequest} from './routing-content-message.js';
 
+/** Heartbeats of backend servers that a host has received while another one leads. */
+export interface HeartbeatReport {
+	readonly heartbeats: ReadonlyArray<{
+		/** Key of the process of the backend server. */
+		readonly key: string;
+		/** Time in milliseconds since its last heartbeat. */
+		readonly ageMs: number;
+	}>;
+}
+
 /** Renews the lease of a daemon; a long poll. */
 export const renewMethod = peerMethod<RenewRequest, RenewReply>('control.renew');
 /** Proposes a command on behalf of a daemon. */
@@ -22,3 +32,5 @@
 export const overviewMethod = peerMethod<Record<string, never>, LeaderOverview>('control.overview');
 /** Reads the content of a routing configuration, in parts, at any control host. */
 export const routingContentMethod = peerMethod<RoutingContentRequest, RoutingContentReply>('control.routing-content');
+/** Passes heartbeats of backend servers on to the leader. */
+export const heartbeatsMethod = peerMethod<HeartbeatReport, boolean>('control.heartbeats');
--- a/src/common/host/control-host.test.ts
+++ b/src/common/host/control-host.test.ts
@@ -2,9 +2,9 @@
 import {ManualClock} from '../../testing/manual-clock.js';
 import {MemoryDisk} from '../../testing/memory-disk.js';
 import {MemoryNetwork} from '../../testing/memory-network.js';
+import {RecordingLogger} from '../../testing/recording-logger.js';
 import {testBackend} from '../../testing/forwarder-fixture.js';
 import {nullCounters} from '../base/null-counters.js';
-import {nullLogger} from '../base/null-logger.js';
 import {SeededRandom} from '../base/seeded-random.js';
 import {plainTextCodec} from '../base/text-codec.js';
 import {DiskLogStorage} from '../consensus/disk-log-storage.js';
@@ -14,6 +14,7 @@
 
 async function startGroup(seed: number) {
 	const clock = new ManualClock();
+	const logger = new RecordingLogger();
 	const random = new SeededRandom(seed);
 	const network = new MemoryNetwork(clock, random.fork('network'));
 	const hosts = await Promise.all(names.map(async name => ControlHost.start({
@@ -25,7 +26,7 @@
 		random: random.fork(name),
 		transport: network.attach(name),
 		counters: nullCounters,
-		logger: nullLogger,
+		logger,
 		storage: new DiskLogStorage(new MemoryDisk(clock, random.fork(`disk ${name}`)).attach()),
 		addresses: {refusesConnections: async () => false},
 		sessionMs: 60_000,
@@ -46,7 +47,7 @@
 	};
 
 	return {
-		clock, network, hosts, settle,
+		clock, network, hosts, settle, removals: () => logger.of('backend server removed, no heartbeat').length,
 	};
 }
 
@@ -78,3 +79,72 @@
 		host.dispose();
 	}
 });
+
+// Guards against servers that are removed although a host that does not lead acknowledges their heartbeats.
+it.each([
+	{name: 'at one follower', cutMs: 0, targets: (leader: number) => [(leader + 1) % 3]},
+	{name: 'at one follower that is cut off for a while', cutMs: 8000, targets: (leader: number) => [(leader + 1) % 3, (leader + 2) % 3]},
+	{name: 'at each follower in turn', cutMs: 0, targets: (leader: number, beat: number) => [(leader + 1 + (beat % 2)) % 3]},
+])('keeps a server listed whose heartbeats arrive $name', async ({cutMs, targets}) => {
+	const {clock, network, hosts, settle, removals} = await startGroup(4);
+	const leader = names.indexOf(hosts[0]!.leader!);
+	const server = testBackend('s-1');
+	expect(await settle(hosts[leader]!.announce(server))).toBe(true);
+	await clock.advance(1000);
+	for (let beat = 0; beat < 40; beat++) {
+		if (beat === 2 && cutMs > 0) {
+			const follower = names[(leader + 1) % 3]!;
+			network.partition([follower], names.filter(name => name !== follower));
+		} else if (beat * 1000 === cutMs + 2000) {
+			network.heal();
+		}
+
+		for (const target of targets(leader, beat)) {
+			// A server tries the next host only when a heartbeat is not acknowledged.
+			const [result] = await settle(Promise.allSettled([hosts[target]!.announce(server)])); // eslint-disable-line no-await-in-loop -- one after another
+			const outcome = result.status === 'fulfilled' ? result.value : undefined;
+			expect(outcome ?? true).toBe(true);
+			if (outcome) {
+				break;
+			}
+		}
+
+		await clock.advance(1000); // eslint-disable-line no-await-in-loop -- one after another
+		expect(removals()).toBe(0);
+	}
+
+	for (const host of hosts) {
+		host.dispose();
+	}
+});
+
+// Guards against a server that is removed at once because it has registered at a host that does not lead.
+it('keeps a server that registers at a follower long after the start of the leadership', async () => {
+	const {clock, hosts, settle, removals} = await startGroup(5);
+	const leader = names.indexOf(hosts[0]!.leader!);
+	await clock.advance(20_000);
+	const server = testBackend('s-1');
+	expect(await settle(hosts[(leader + 1) % 3]!.announce(server))).toBe(true);
+	await clock.advance(3000);
+	expect(removals()).toBe(0);
+	for (const host of hosts) {
+		host.dispose();
+	}
+});
+
+// Guards against a dead server that stays listed.
+it('removes a server whose heartbeats at a follower have stopped', async () => {
+	const {clock, hosts, settle, removals} = await startGroup(6);
+	const leader = names.indexOf(hosts[0]!.leader!);
+	const server = testBackend('s-1');
+	await settle(hosts[(leader + 1) % 3]!.announce(server));
+	await clock.advance(5000);
+	await settle(hosts[(leader + 1) % 3]!.announce(server));
+	await clock.advance(12_000);
+	expect(removals()).toBe(0);
+	await clock.advance(6000);
+	expect(removals()).toBe(1);
+	for (const host of hosts) {
+		host.dispose();
+	}
+});
--- a/src/common/host/control-host.ts
+++ b/src/common/host/control-host.ts
@@ -102,12 +102,12 @@
 		this._store.add(_log);
 		this._service = this._store.add(new ControlService(shared));
 		this._store.add(this._service.addSection(new VotersSource(() => this._voters)));
-		this._heartbeats = this._store.add(new BackendHeartbeats({...shared, leadership: this._service.leadership}));
+		this._leaderClient = new LeaderClient(transport, () => [...new Set([...this._voters, ...seeds()])], clock, random, () => _log.leader);
+		this._heartbeats = this._store.add(new BackendHeartbeats({...shared, leadership: this._service.leadership, leaderClient: this._leaderClient}));
 		const supervisor = this._store.add(new ReleaseSupervisor({...shared, leadership: this._service.leadership}));
 		this._store.add(this._service.addSection(supervisor));
 		this._store.add(this._service.addSection(this._store.add(new CrashSupervisor({...shared, leadership: this._service.leadership}))));
 		this._store.add(this._service.addSection(new StickySessionExchange(clock, _options.sessionMs)));
-		this._leaderClient = new LeaderClient(transport, () => [...new Set([...this._voters, ...seeds()])], clock, random, () => _log.leader);
 		this._entryList = new EntryList(_state, {isValid: () => true}, keepSeconds);
 	}
 
@@ -162,7 +162,10 @@
 	@throws ControlUnavailableError when the outcome is unknown; the next heartbeat retries.
 	*/
 	async announce(server: BackendServer): Promise<boolean> {
-		this._heartbeats.recordHeartbeat(server);
+		if (!this._heartbeats.recordHeartbeat(server)) {
+			throw new ControlUnavailableError('the leader cannot be told of heartbeats');
+		}
+
 		const known = this._state.backendServers.get(server.id);
 		if (known?.incarnation === server.incarnation && (isSameAnnouncement(known, server) || (known.isDraining && !server.isDraining))) {
 			return true;
