Transfer the leadership when a write of the leader hangs

Callers saw: when the disk of the leader hung, entry hosts refused all requests 4 s later, until the disk answered. The leader led on, committed entries with the quorum of the others, but could not apply them before its own write, and grants leases only for a state that it has applied.

Ruled out: applying entries that only the others have stored.

Fix: a leader whose write has taken longer than 1 s, while the commit index is past what it has stored, transfers the leadership to the voter that has stored most, which therefore has a working disk. If that fails, it steps down after one election timeout, as in any transfer. A member with such a write starts no election: its own vote could not be stored, and its pre-votes would only make others wait.

Safety: no rule of voting, commit or apply has changed. The transfer is the one that a planned stop uses: the leader holds no lease from its start on, and the next leader needs the votes of a quorum that stores them.

A hung disk of a follower, or writes of the leader of 400 ms each, change no leader.

--- a/src/common/consensus/consensus-times.ts
+++ b/src/common/consensus/consensus-times.ts
@@ -25,6 +25,9 @@
 */
 export const leaderLeaseMs = electionTimeoutMinMs * (1 - (2 * maxClockDrift));
 
+/** Time in milliseconds after which a write of this member counts as hung. With an election, it stays below the 3 s allowed for a new leader. */
+export const hungWriteMs = 1000;
+
 /** Time in milliseconds without a response after which an open group removes a voter, if a replacement has joined. */
 export const lostVoterMs = 6000;
 
--- a/src/common/consensus/core-state.ts
+++ b/src/common/consensus/core-state.ts
@@ -1,7 +1,7 @@
 import {type AppError} from '../base/app-error.js';
 import {type RandomSource} from '../base/random-source.js';
 import {
-	electionRetryMs, electionDeferralMs, electionTimeoutMaxMs, electionTimeoutMinMs, heartbeatIntervalMs, electionJitterMs,
+	electionRetryMs, electionDeferralMs, electionTimeoutMaxMs, electionTimeoutMinMs, heartbeatIntervalMs, hungWriteMs, electionJitterMs,
 } from './consensus-times.js';
 import {type DeferredMessage} from './deferred-message.js';
 import {EntryLog} from './entry-log.js';
@@ -57,6 +57,8 @@
 	/** Index up to which entries have been submitted for syncing. */
 	private _submittedIndex: number;
 	private _pendingSnapshot: Snapshot | undefined;
+	/** Start of the write in progress. */
+	private _writingSince: number | undefined;
 
 	constructor(options: CoreOptions, stored: StoredState, now: number) {
 		this.self = options.self;
@@ -102,6 +104,11 @@
 		return Math.min(this.commitIndex, this.syncedIndex);
 	}
 
+	/** Whether the storage has not finished the current write for so long that this member must not lead. */
+	get isWriteHung(): boolean {
+		return this._writingSince !== undefined && this.now - this._writingSince > hungWriteMs;
+	}
+
 	isQuorum(predicate: (voter: Member) => boolean): boolean {
 		return this.rule.isQuorum(this.voters, predicate);
 	}
@@ -203,11 +210,13 @@
 		this._isHardStateDirty = false;
 		this._pendingSnapshot = undefined;
 		this._deferred = [];
+		this._writingSince = hasBatch ? this.now : undefined;
 		return work;
 	}
 
 	/** Records that work is durable. */
 	finishSync(work: SyncWork): void {
+		this._writingSince = undefined;
 		if (work.batch) {
 			this._syncedTerm = work.batch.term;
 			// A new leader may have overwritten the entries during the sync.
--- a/src/common/consensus/elections.ts
+++ b/src/common/consensus/elections.ts
@@ -19,16 +19,18 @@
 			return;
 		}
 
-		if (state.isVoter) {
-			this._startPreVote();
-		} else {
+		if (!state.isVoter) {
 			state.resetElectionTimer();
+		} else if (state.isWriteHung) {
+			state.deferElection();
+		} else {
+			this._startPreVote();
 		}
 	}
 
 	/** Starts an election at once, on request of a leader that transfers leadership. */
 	campaignNow(): void {
-		if (this._state.isVoter && this._state.role !== role.leader) {
+		if (this._state.isVoter && this._state.role !== role.leader && !this._state.isWriteHung) {
 			this._startVote(true);
 		}
 	}
--- a/src/common/consensus/leader-role.ts
+++ b/src/common/consensus/leader-role.ts
@@ -58,6 +58,11 @@
 			return;
 		}
 
+		// A quorum of the others stores what this member cannot apply, and one of them can lead.
+		if (this._state.isWriteHung && this._state.commitIndex > this._state.syncedIndex) {
+			this.transfer();
+		}
+
 		if (now >= this._heartbeatDue) {
 			this._heartbeatDue = now + heartbeatIntervalMs;
 			this.replication.sendHeartbeats();
