--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -87,8 +87,8 @@
 
 	start(): void {
 		const {clock, budget} = this._services;
-		// A request that was handed over counts at the host that its caller has sent it to.
-		if (this._admitted.req.attemptsLeft === undefined) {
+		// A request that was handed over counts at the host that its caller has sent it to, and one that is admitted again has been counted.
+		if (this._admitted.req.attemptsLeft === undefined && !this._admitted.isReadmitted) {
 			budget(this._admitted.service).recordRequest();
 		}
 
--- a/src/common/forwarding/forwarder.ts
+++ b/src/common/forwarding/forwarder.ts
@@ -29,6 +29,8 @@
 	readonly digest: string;
 	/** Arrival time on the host's monotonic clock in milliseconds. */
 	readonly arrivedAt: number;
+	/** Whether the request was admitted before, under another configuration. */
+	readonly isReadmitted?: boolean;
 }
 
 /** A refusal, with what put the request under quarantine, for the log. */
@@ -147,7 +149,7 @@
 				this._runs.delete(run);
 			},
 			readmit: () => {
-				this._forward(arrived, true);
+				this._forward({...arrived, isReadmitted: true}, true);
 			},
 		});
 		this._runs.add(run);
@@ -181,7 +183,7 @@
 		return findRoute(this._services.state().table!, req);
 	}
 
-	private _admit({req, arrivedAt}: WaitingRequest): AdmittedRequest | LoggedRefusal {
+	private _admit({req, arrivedAt, isReadmitted = false}: WaitingRequest): AdmittedRequest | LoggedRefusal {
 		const {lease, state, random, digests} = this._services;
 		const {table} = state();
 		if (!table || !lease.isValid()) {
@@ -203,7 +205,7 @@
 		}
 
 		return {
-			req, route, customer, service: pickService(route, random()), configVersion: table.cfg.version, digest, arrivedAt,
+			req, route, customer, service: pickService(route, random()), configVersion: table.cfg.version, digest, arrivedAt, isReadmitted,
 		};
 	}
 }
--- a/src/common/forwarding/waiting-requests.ts
+++ b/src/common/forwarding/waiting-requests.ts
@@ -14,6 +14,8 @@
 	readonly sink: CallerSink;
 	/** Arrival time on the host's monotonic clock in milliseconds. */
 	readonly arrivedAt: number;
+	/** Whether the request was admitted before, under another configuration. */
+	readonly isReadmitted?: boolean;
 }
 
 /** Returns the time until which a request may wait. */
