Try all waiting requests when servers change and at each interval

Requests waited beside free connections: each release of a place and each interval started at the head of the queue and stopped after eight requests that could not be placed.

The release of one place still costs at most eight tries. The interval of 100 ms, and changes of servers or configuration, now try all, so that no request waits behind others for longer than that.

--- a/src/common/forwarding/place-queue.ts
+++ b/src/common/forwarding/place-queue.ts
@@ -3,7 +3,7 @@
 
 /** Maximum number of requests of a service that wait; further requests are refused. */
 const maxWaiting = 1000;
-/** Number of requests that may stay blocked at one release, so that a long queue costs little for each place. */
+/** Number of requests that may stay blocked at the release of a place, so that a long queue costs little. */
 const maxBlocked = 8;
 /** Interval in milliseconds at which the waiting requests are tried without a release: pauses and ejections of servers end without an event. */
 const retryIntervalMs = 100;
@@ -51,8 +51,8 @@
 		};
 	}
 
-	/** Places requests of a service; called when a connection to one of its servers is free. */
-	release(service: string): void {
+	/** Places requests of a service; called when a connection to one of its servers is free. `limit`: number of requests that may stay blocked. */
+	release(service: string, limit = maxBlocked): void {
 		if (this._releasing.has(service)) {
 			this._releasing.set(service, true);
 			return;
@@ -61,17 +61,17 @@
 		try {
 			do {
 				this._releasing.set(service, false);
-				this._releaseOnce(service);
+				this._releaseOnce(service, limit);
 			} while (this._releasing.get(service));
 		} finally {
 			this._releasing.delete(service);
 		}
 	}
 
-	/** Places requests of all services; called when the servers or the configuration have changed. */
+	/** Places all requests that can be placed; called when the servers or the configuration have changed. */
 	releaseAll(): void {
 		for (const service of this._waiting.keys()) {
-			this.release(service);
+			this.release(service, Infinity);
 		}
 	}
 
@@ -79,12 +79,12 @@
 		this._timer?.dispose();
 	}
 
-	private _releaseOnce(service: string): void {
+	private _releaseOnce(service: string, limit: number): void {
 		let blocked = 0;
 		for (const tryPlace of this._waiting.get(service) ?? []) {
 			if (tryPlace()) {
 				this._remove(service, tryPlace);
-			} else if (++blocked >= maxBlocked) {
+			} else if (++blocked >= limit) {
 				return;
 			}
 		}
