Answer bytes that are no request after the answers to the requests before them

When bytes that are no request, or a head that stays incomplete, followed a request on the same connection, Node.js wrote its own 400, 431 or 408 and closed, and the caller took it for the answer to the request that a server was running. 408 promises that it has not run (REFUSED).

The host now finishes the answers to complete requests first and then closes; without one it answers with the status itself.

--- a/src/daemon/caller-connections.ts
+++ b/src/daemon/caller-connections.ts
@@ -1,4 +1,4 @@
-import {type Server as HttpServer, type ServerResponse} from 'node:http';
+import {type Server as HttpServer, type ServerResponse, STATUS_CODES} from 'node:http';
 import {Server, type Socket} from 'node:net';
 
 /** Connections of callers with the answers that are not completely written, so that a stop closes no connection under an answer. */
@@ -57,6 +57,29 @@
 		return true;
 	}
 
+	/**
+	Ends a connection on which bytes arrived that are no request. The answers to complete requests before them are written first;
+	an answer of the HTTP server itself would be taken for one of theirs.
+	*/
+	reject(socket: Socket, status: number): void {
+		const last = [...this._answers.get(socket) ?? []].findLast(({req}) => req.complete);
+		if (last) {
+			if (!last.headersSent) {
+				last.setHeader('connection', 'close');
+			}
+
+			last.once('close', () => {
+				socket.destroy();
+			});
+		} else if (socket.writable) {
+			socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`, () => {
+				socket.destroy();
+			});
+		} else {
+			socket.destroy();
+		}
+	}
+
 	/** Makes the last answer on each connection close it. */
 	drain(): void {
 		this._isDraining = true;
--- a/src/daemon/caller-server.ts
+++ b/src/daemon/caller-server.ts
@@ -1,7 +1,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {type AddressInfo} from 'node:net';
+import {type AddressInfo, type Socket} from 'node:net';
 import {ByteBuffer} from '../common/base/byte-buffer.js';
 import {type Disposable} from '../common/base/disposable.js';
 import {Emitter} from '../common/base/emitter.js';
@@ -26,11 +26,16 @@
 /** Retry time in seconds that a stopping host sends to callers, which then try another host. */
 const stoppingRetrySeconds = 0.05;
 
+const badRequest = 400;
+/** Statuses for requests that the HTTP parser rejects, by the code of its error. */
+const statusByErrorCode: ReadonlyMap<string, number> = new Map([['HPE_HEADER_OVERFLOW', 431], ['ERR_HTTP_REQUEST_TIMEOUT', 408]]);
+
 /** HTTP server that reads requests of callers and passes them to the forwarder. */
 export class CallerServer implements Disposable {
 	private readonly _server: Server;
 	private readonly _connections: CallerConnections;
 	private readonly _onError = new Emitter<Error>();
+	private readonly _onRejected = new Emitter<Error>();
 	private _limits: CallerLimits | undefined;
 	private _isClosed = false;
 	private readonly _open = new Set<HttpCallerSink>();
@@ -51,6 +56,10 @@
 			this._receive(req, res, sink);
 		});
 		this._connections = new CallerConnections(this._server);
+		this._server.on('clientError', (error: Error & {code?: string}, socket: Socket) => {
+			this._onRejected.fire(error);
+			this._connections.reject(socket, statusByErrorCode.get(error.code ?? '') ?? badRequest);
+		});
 		// Each route has its own timeout.
 		this._server.requestTimeout = 0;
 	}
@@ -65,6 +74,11 @@
 		return this._onError.event;
 	}
 
+	/** Raised when bytes of a caller are no request. */
+	get onRejected(): Event<Error> {
+		return this._onRejected.event;
+	}
+
 	/** Starts to listen; a failed attempt may be repeated. @returns the port. */
 	async listen({host, port}: ListenAddress): Promise<number> {
 		await listen(this._server, {host, port});
