--- a/src/common/base/peer-transport.ts
+++ b/src/common/base/peer-transport.ts
@@ -1,4 +1,5 @@
 import {type Disposable} from './disposable.js';
+import {type PeerCaller} from './peer-caller.js';
 import {type PeerMethod} from './peer-method.js';
 
 /** Remote calls between daemons. Delivery is neither ordered nor exactly once. */
@@ -14,5 +15,5 @@
 	*/
 	call<Params, Result>(peer: string, method: PeerMethod<Params, Result>, params: Params, timeoutMs: number): Promise<Result>;
 	/** Registers the handler of a method. `from` is the name of the calling host. */
-	handle<Params, Result>(method: PeerMethod<Params, Result>, handler: (params: Params, from: string) => Promise<Result>): Disposable;
+	handle<Params, Result>(method: PeerMethod<Params, Result>, handler: (params: Params, from: string, caller: PeerCaller) => Promise<Result>): Disposable;
 }
--- a/src/common/control/control-service.ts
+++ b/src/common/control/control-service.ts
@@ -72,7 +72,7 @@
 			log, state, transport, clock, counters, logger, codec = plainTextCodec, configurationBoundMs = defaultConfigurationBoundMs,
 		} = _options;
 		this._maxReplacedMs = configurationBoundMs - configurationBoundMarginMs;
-		this._sections = new LeaderSections(logger);
+		this._sections = new LeaderSections(logger, counters);
 		this._waiters = this._store.add(new Waiters(clock));
 		this._catchUp = new ControlCatchUp(log, state);
 		this._routingContents = this._store.add(new RoutingContents({
@@ -177,10 +177,11 @@
 	/** Builds the reply synchronously, so that the lease, the commit index and the entries are consistent with each other. */
 	private _reply(req: RenewRequest, term: number): RenewReply {
 		const period = this.leadership.requirePeriod();
-		const {log, clock} = this._options;
+		const {log, clock, counters} = this._options;
 		const withRouting = req.routing === undefined;
 		const {lastIndex: reached, ...catchUp} = this._catchUp.after(withRouting ? req.applied : req.received ?? req.applied, withRouting);
 		const {commitIndex} = log;
+		counters.increment('control.entries-sent', catchUp.entries.length);
 		const refusal = this._refusal(req);
 		const mayGrant = !refusal && !this._leases.isReleased(req) && period.term === term && reached === commitIndex;
 		const grantedMs = mayGrant ? this._grant(req, clock.now()) : 0;
--- a/src/common/control/leader-sections.ts
+++ b/src/common/control/leader-sections.ts
@@ -1,3 +1,4 @@
+import {type Counters} from '../base/counters.js';
 import {type Disposable} from '../base/disposable.js';
 import {type Logger} from '../base/logger.js';
 import {type LeaderSection, type RenewalSender} from './leader-section.js';
@@ -6,7 +7,7 @@
 export class LeaderSections {
 	private readonly _sections = new Set<LeaderSection<unknown, unknown>>();
 
-	constructor(private readonly _logger: Logger) {}
+	constructor(private readonly _logger: Logger, private readonly _counters: Counters) {}
 
 	add<Request, Reply>(section: LeaderSection<Request, Reply>): Disposable {
 		const added = section as LeaderSection<unknown, unknown>;
@@ -41,6 +42,7 @@
 			this._guard(section, () => {
 				const part = section.reply(sender, isGranted);
 				if (part !== undefined) {
+					this._counters.increment('control.section-items', Array.isArray(part) ? part.length : 1, {section: section.section.name});
 					parts[section.section.name] = part;
 				}
 			});
--- a/src/daemon/control-router.ts
+++ b/src/daemon/control-router.ts
@@ -1,7 +1,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {RefusalError} from '../common/entry/refusal-error.js';
 import {type HttpPeerTransport} from '../node/http-peer-transport.js';
-import {peerHeader, peerPath} from '../node/peer-rpc.js';
+import {peerHeader, peerPath, sentAtHeader} from '../node/peer-rpc.js';
 import {type BackendHandler} from './backend-handler.js';
 import {hasSecret} from './bearer-check.js';
 import {sendJson} from './http-error.js';
@@ -58,7 +58,7 @@
 export async function handlePeerCall(req: IncomingMessage, res: ServerResponse, transport: HttpPeerTransport, secret: string | undefined): Promise<void> {
 	checkSecret(req, secret);
 	const text = await readBody(req, maxPeerBytes);
-	const reply = await transport.receive(text, String(req.headers[peerHeader]));
+	const reply = await transport.receive(text, String(req.headers[peerHeader]), {sentAt: req.headers[sentAtHeader], isGone: () => res.destroyed});
 	res.writeHead(200, {'content-type': 'application/json'});
 	res.end(reply);
 }
--- a/src/node/http-peer-transport.ts
+++ b/src/node/http-peer-transport.ts
@@ -1,16 +1,38 @@
-import {JSONRPCClient, JSONRPCServer, type JSONRPCResponse} from 'json-rpc-2.0';
+import {
+	JSONRPCClient, JSONRPCServer, type JSONRPCRequest, type JSONRPCResponse,
+} from 'json-rpc-2.0';
 import {Agent} from 'undici';
+import {CallLoad, type MethodLoad} from '../common/base/call-load.js';
+import {type Counters} from '../common/base/counters.js';
 import {type Disposable} from '../common/base/disposable.js';
+import {nullCounters} from '../common/base/null-counters.js';
+import {type PeerCaller} from '../common/base/peer-caller.js';
 import {PeerCallError, PeerTimeoutError, PeerUnreachableError} from '../common/base/peer-errors.js';
 import {type PeerMethod} from '../common/base/peer-method.js';
 import {type PeerTransport} from '../common/base/peer-transport.js';
 import {AppError} from '../common/base/app-error.js';
 import {PeerExchange} from './peer-exchange.js';
 import {
-	handlerFailedCode, peerErrorData, type PeerErrorData, peerHeader, peerPath,
+	handlerFailedCode, peerErrorData, type PeerErrorData, peerHeader, peerPath, sentAtHeader,
 } from './peer-rpc.js';
 import {timedConnector} from './timed-connector.js';
 
+/** Options of `HttpPeerTransport`. */
+export interface HttpPeerTransportOptions {
+	readonly counters?: Counters;
+	/** Time of day in Unix milliseconds, sent with each call; calls name no time without it. */
+	readonly wallTime?: () => number;
+}
+
+/** What is known of a call besides its text. */
+export interface ReceivedCall {
+	/** Value of the header with the time of sending, if there is one. */
+	readonly sentAt?: string | string[] | undefined;
+	/** Whether the caller has closed its connection. */
+	readonly isGone?: () => boolean;
+}
+
+type Sender = {readonly from: string; readonly caller: PeerCaller};
 type CallTarget = {readonly peer: string; readonly timeoutMs: number; failure?: AppError};
 
 /** Connect timeout in milliseconds, well below an election timeout. */
@@ -24,19 +46,26 @@
 		connections: connectionsPerPeer, pipelining: 1, connect: timedConnector(connectTimeoutMs), headersTimeout: 0, bodyTimeout: 0,
 	});
 
-	private readonly _server = new JSONRPCServer<string>({
+	private readonly _server = new JSONRPCServer<Sender>({
 		errorListener() {
 			// Errors are returned to the caller, which counts them.
 		},
 	});
 
 	private readonly _client: JSONRPCClient<CallTarget>;
+	private readonly _load: CallLoad;
 	private _addressLookup: ((peer: string) => string | undefined) | undefined;
 
 	/**
 	`_addressOf` returns the `ip:port` of a peer by its name, if known. `_secret` is sent with each call as a bearer token.
 	*/
-	constructor(readonly self: string, private readonly _addressOf: (peer: string) => string | undefined, private readonly _secret: string | undefined) {
+	constructor(
+		readonly self: string,
+		private readonly _addressOf: (peer: string) => string | undefined,
+		private readonly _secret: string | undefined,
+		private readonly _options: HttpPeerTransportOptions = {},
+	) {
+		this._load = new CallLoad(_options.counters ?? nullCounters);
 		this._client = new JSONRPCClient<CallTarget>(async (payload, target) => {
 			try {
 				this._client.receive(await this._post(payload, target));
@@ -72,8 +101,8 @@
 		}
 	}
 
-	handle<Params, Result>(method: PeerMethod<Params, Result>, handler: (params: Params, from: string) => Promise<Result>): Disposable {
-		this._server.addMethod(method.name, (async ([params]: [Params], from: string) => handler(params, from)) as never);
+	handle<Params, Result>(method: PeerMethod<Params, Result>, handler: (params: Params, from: string, caller: PeerCaller) => Promise<Result>): Disposable {
+		this._server.addMethod(method.name, (async ([params]: [Params], {from, caller}: Sender) => handler(params, from, caller)) as never);
 		return {
 			dispose: () => {
 				this._server.removeMethod(method.name);
@@ -82,8 +111,26 @@
 	}
 
 	/** Handles a JSON-RPC request. @returns the response as JSON. */
-	async receive(text: string, from: string): Promise<string> {
-		return JSON.stringify(await this._server.receiveJSON(text, from));
+	async receive(text: string, from: string, {sentAt, isGone = () => false}: ReceivedCall = {}): Promise<string> {
+		const ageMs = this._ageOf(sentAt);
+		const request = parseRequest(text);
+		const sender: Sender = {
+			from, caller: {
+				get isGone() {
+					return isGone();
+				},
+			},
+		};
+		const reply = JSON.stringify(await (request ? this._server.receive(request, sender) : this._server.receiveJSON(text, sender)));
+		this._load.record({
+			method: request && this._server.hasMethod(request.method) ? request.method : 'unknown', receivedBytes: text.length, sentBytes: reply.length, isGone: isGone(), ageMs,
+		});
+		return reply;
+	}
+
+	/** Returns the calls by method that were handled since the last reading. */
+	takeLoad(): Record<string, MethodLoad> {
+		return this._load.take();
 	}
 
 	dispose(): void {
@@ -104,7 +151,15 @@
 		}
 	}
 
+	/** Time in milliseconds since a call was sent, at least 0. */
+	private _ageOf(sentAt: string | string[] | undefined): number | undefined {
+		const {wallTime} = this._options;
+		const at = typeof sentAt === 'string' ? Number(sentAt) : Number.NaN;
+		return wallTime && Number.isFinite(at) ? Math.max(0, Math.round(wallTime() - at)) : undefined;
+	}
+
 	private async _exchange(address: string, payload: unknown, {peer, timeoutMs}: CallTarget): Promise<string> {
+		const {wallTime} = this._options;
 		const exchange = new PeerExchange(peer, timeoutMs);
 		try {
 			this._agent.dispatch({
@@ -114,6 +169,7 @@
 				headers: {
 					'content-type': 'application/json',
 					[peerHeader]: this.self,
+					...(wallTime && {[sentAtHeader]: String(Math.round(wallTime()))}),
 					...(this._secret !== undefined && {authorization: `Bearer ${this._secret}`}),
 				},
 				body: JSON.stringify(payload),
@@ -125,3 +181,13 @@
 		return exchange.body;
 	}
 }
+
+/** Parses a request; undefined when it is none, which the JSON-RPC server then answers. */
+function parseRequest(text: string): JSONRPCRequest | undefined {
+	try {
+		const request = JSON.parse(text) as JSONRPCRequest | undefined;
+		return typeof request?.method === 'string' ? request : undefined;
+	} catch {
+		return undefined;
+	}
+}
--- a/src/node/peer-rpc.ts
+++ b/src/node/peer-rpc.ts
@@ -5,6 +5,9 @@
 /** Header with the name of the calling host. */
 export const peerHeader = 'catkinbeam-peer';
 
+/** Header with the time of day in Unix milliseconds at which a call was sent. For display only: the clocks of two hosts may differ. */
+export const sentAtHeader = 'catkinbeam-sent-at';
+
 /** JSON-RPC error code of a failed handler, from the range that JSON-RPC 2.0 reserves for servers. */
 export const handlerFailedCode = -32_000;
 
