--- a/src/testing/memory-network.ts
+++ b/src/testing/memory-network.ts
@@ -1,12 +1,13 @@
 import {type Clock} from '../common/base/clock.js';
 import {type Disposable} from '../common/base/disposable.js';
 import {PeerCallError, PeerTimeoutError} from '../common/base/peer-errors.js';
+import {type PeerCaller} from '../common/base/peer-caller.js';
 import {type PeerMethod} from '../common/base/peer-method.js';
 import {type PeerTransport} from '../common/base/peer-transport.js';
 import {type RandomSource} from '../common/base/random-source.js';
 
 type CallRoute = {from: string; to: string; timeoutMs: number; clock: Clock};
-type Handler = (params: unknown, from: string) => Promise<unknown>;
+type Handler = (params: unknown, from: string, caller: PeerCaller) => Promise<unknown>;
 type Reply = {result?: string} | {error: PeerCallError};
 type Message = Omit<Transfer, 'delayMs' | 'deliver'>;
 
@@ -111,7 +112,7 @@
 			this._send({
 				from, to, size: message.length, signal,
 			}, async () => {
-				const reply = await this._execute(from, to, method.name, message);
+				const reply = await this._execute({from, to, signal}, method.name, message);
 				this._send({
 					from: to, to: from, size: sizeOf(reply), signal,
 				}, () => {
@@ -126,7 +127,7 @@
 		});
 	}
 
-	private async _execute(from: string, to: string, method: string, message: string): Promise<Reply> {
+	private async _execute({from, to, signal}: Pick<Message, 'from' | 'to' | 'signal'>, method: string, message: string): Promise<Reply> {
 		const handler = this._handlers.get(to)?.get(method);
 		if (!handler) {
 			// A host that is down never replies; the call times out.
@@ -134,7 +135,11 @@
 		}
 
 		try {
-			const result = await handler(JSON.parse(message), from);
+			const result = await handler(JSON.parse(message), from, {
+				get isGone() {
+					return signal.aborted;
+				},
+			});
 			return {result: JSON.stringify(result)};
 		} catch (error) {
 			const {code = 'internal', message: text, data} = error as {code?: string; message: string; data?: unknown};
--- a/src/testing/simulated-machine.ts
+++ b/src/testing/simulated-machine.ts
@@ -75,7 +75,8 @@
 export class SimulatedMachines implements TransferModel {
 	private readonly _machines = new Map<string, SimulatedMachine>();
 
-	constructor(private readonly _clock: Clock) {}
+	/** `_messageMs` is the processor time in milliseconds of sending or receiving a message, besides that for its size. */
+	constructor(private readonly _clock: Clock, private readonly _messageMs = 0) {}
 
 	add(host: string, capacity: MachineCapacity): SimulatedMachine {
 		const machine = new SimulatedMachine(this._clock, capacity);
@@ -89,10 +90,10 @@
 		const sender = this._machines.get(from)!;
 		const receiver = this._machines.get(to)!;
 		const receive = () => {
-			receiver.processor.run(size * processorCost.decode, deliver);
+			receiver.processor.run(this._messageMs + (size * processorCost.decode), deliver);
 		};
 
-		this._clock.setTimer(sender.processor.charge(size * processorCost.encode) - this._clock.now(), () => {
+		this._clock.setTimer(sender.processor.charge(this._messageMs + (size * processorCost.encode)) - this._clock.now(), () => {
 			if (from === to) {
 				receive();
 				return;
