Exchange only the sessions that a trial of a release may take

Callers saw late and refused requests and changes without an acknowledgement after a new leader had taken over a roll-out. A host whose renewal timed out got more of them with the next one.

A session has to be known elsewhere only if the trial would otherwise take it. The hash that decides on that is known to every host, so hosts now report only the sessions below the share of the trial, or below twice the expected share before the trial begins.

--- a/src/common/forwarding/servers-for-release.ts
+++ b/src/common/forwarding/servers-for-release.ts
@@ -48,9 +48,14 @@
 	return rollout.state === serviceRolloutState.completed || (rollout.state === serviceRolloutState.inProgress && getsTarget(rollout, session));
 }
 
+/** Position of a session in [0, 1); it is in the share of the new release when its position is below the share. */
+export function sessionPosition(key: string, revision: number): number {
+	return (hashString(key, revision) % shareSteps) / shareSteps;
+}
+
 /** Whether a roll-out in progress assigns the session to the new release. */
 function getsTarget({revision, share, holdsSessions}: ServiceRollout, {key, isSticky}: RequestSession): boolean {
-	return hashString(key, revision) % shareSteps < share * shareSteps && !(holdsSessions && isSticky);
+	return sessionPosition(key, revision) < share && !(holdsSessions && isSticky);
 }
 
 /**
--- a/src/common/host/forward-host.ts
+++ b/src/common/host/forward-host.ts
@@ -33,6 +33,7 @@
 import {SlackShare} from '../forwarding/slack-share.js';
 import {ReleaseRecorder} from '../release/release-recorder.js';
 import {StickySessions} from '../release/sticky-sessions.js';
+import {TrialSessions} from '../release/trial-sessions.js';
 
 /** Minimum confidence of an accepted answer of a small model; docs/platform-measurements.md has the side-by-side measurement. */
 const acceptedConfidence = 55;
@@ -78,6 +79,7 @@
 	private readonly _peers: PeerHosts;
 	private readonly _voters: KnownVoters;
 	private readonly _recorder: ReleaseRecorder;
+	private readonly _trialSessions = new TrialSessions();
 	private readonly _budgets = new Map<string, FleetRepeatBudget>();
 	private readonly _slackShare: SlackShare;
 	private readonly _onRouting = this._store.add(new Emitter<RoutingConfig>());
@@ -105,7 +107,7 @@
 		}));
 		this._store.add(this.follower.addSection(this._voters));
 		this._store.add(this.follower.addSection(this._recorder));
-		const sessions = new StickySessions(clock, _options.sessionMs, () => [...this.follower.view.serviceRollouts.values()].some(({state, holdsSessions}) => state === serviceRolloutState.inProgress && holdsSessions));
+		const sessions = new StickySessions(clock, _options.sessionMs, session => this._trialSessions.mayMove(session));
 		this._store.add(this.follower.addSection(sessions));
 		const crashes = this._store.add(new CrashRecorder({..._options, quarantinedRequests: () => this.follower.view.quarantinedRequests.keys()}));
 		this._store.add(this.follower.addSection(crashes));
@@ -203,6 +205,7 @@
 	private _applyRevision(): void {
 		const {logger, parseRouting} = this._options;
 		const {view} = this.follower;
+		this._trialSessions.update(view);
 		this._pool.update(view.backendServers.values(), this._options.clock.now());
 		this._hostIndex = Math.max(0, [...view.entryHosts.keys()].sort().indexOf(this._options.entry.host));
 		this._onServers.fire(new Set([...view.backendServers.values()].map(({address}) => address)));
--- a/src/common/release/release-schedule.ts
+++ b/src/common/release/release-schedule.ts
@@ -35,7 +35,7 @@
 /** Minimum share of the sessions in the trial. */
 const minTrialShare = 0.05;
 /** Maximum share of the sessions in the trial, for services with few servers. */
-const maxTrialShare = 0.34;
+export const maxTrialShare = 0.34;
 /** Time in milliseconds from the start to the trial: two renewals, in which the hosts exchange their sticky sessions. */
 const sessionExchangeMs = 2200;
 /** Fraction of the duration from which the trial starts although the request rate is not known. */
--- a/src/common/release/sticky-sessions.ts
+++ b/src/common/release/sticky-sessions.ts
@@ -14,7 +14,7 @@
 export class StickySessions implements FollowerSection<readonly number[], readonly number[]> {
 	readonly section = section;
 	/** Sessions of this host, with the times of the last request and the last report. */
-	private readonly _local = new Map<number, {at: number; reportedAt: number}>();
+	private readonly _local = new Map<number, {readonly session: string; at: number; reportedAt: number}>();
 	/** Sessions of other hosts, with the time of the last report. */
 	private readonly _remote = new Map<number, number>();
 
@@ -22,8 +22,8 @@
 		private readonly _clock: Clock,
 		/** Time in milliseconds after a request for which its session counts as active. */
 		private readonly _sessionMs: number,
-		/** Whether a roll-out is in a stage that keeps sessions on the old release, so that hosts must exchange them. */
-		private readonly _isSharing: () => boolean,
+		/** Whether a roll-out that keeps active sessions on the old release would otherwise move this one, so that the other hosts must know of it. */
+		private readonly _mayMove: (session: string) => boolean,
 	) {}
 
 	/** Records that a session ran on the old release. */
@@ -32,7 +32,7 @@
 		const known = this._local.get(hash);
 		// Reinsertion keeps the map ordered by age.
 		this._local.delete(hash);
-		this._local.set(hash, {at: this._clock.now(), reportedAt: known?.reportedAt ?? -Infinity});
+		this._local.set(hash, {session, at: this._clock.now(), reportedAt: known?.reportedAt ?? -Infinity});
 		this._prune();
 	}
 
@@ -44,14 +44,10 @@
 	}
 
 	collect(): readonly number[] | undefined {
-		if (!this._isSharing()) {
-			return undefined;
-		}
-
 		this._prune();
 		const now = this._clock.now();
-		const due = [...this._local].filter(([, {reportedAt}]) => now - reportedAt > this._sessionMs * reportIntervalFraction);
-		return due.map(([hash]) => hash);
+		const due = [...this._local].filter(([, {session, reportedAt}]) => now - reportedAt > this._sessionMs * reportIntervalFraction && this._mayMove(session));
+		return due.length > 0 ? due.map(([hash]) => hash) : undefined;
 	}
 
 	acknowledge(_term: number, sent: readonly number[] | undefined, reply: readonly number[] | undefined): void {
--- a/src/testing/leader-load-simulation.ts
+++ b/src/testing/leader-load-simulation.ts
@@ -4,7 +4,6 @@
 import {sleep} from '../common/base/sleep.js';
 import {type TextCodec} from '../common/base/text-codec.js';
 import {DiskLogStorage} from '../common/consensus/disk-log-storage.js';
-import {type BackendServer} from '../common/control/backend-server.js';
 import {ControlFollower} from '../common/control/control-follower.js';
 import {serviceRolloutState} from '../common/control/service-rollout.js';
 import {KnownVoters} from '../common/control/voters-section.js';
@@ -12,6 +11,8 @@
 import {ControlHost} from '../common/host/control-host.js';
 import {ReleaseRecorder} from '../common/release/release-recorder.js';
 import {StickySessions} from '../common/release/sticky-sessions.js';
+import {TrialSessions} from '../common/release/trial-sessions.js';
+import {AnnouncingServers} from './announcing-servers.js';
 import {defaultMachines} from './configuration-machines.js';
 import {ManualClock} from './manual-clock.js';
 import {MemoryDisk} from './memory-disk.js';
@@ -46,8 +47,6 @@
 const sessionMs = 11_000;
 const requestsPerSecond = 9;
 const sessionsPerHost = 75;
-const announceMs = 1200;
-const announceTimeoutMs = 1000;
 const syncMs = 1;
 const resendMs = 200;
 /** Time in milliseconds after the stop of the leader in which an election and the return of the hosts are allowed. */
@@ -69,11 +68,14 @@
 	private readonly _entries: Entry[] = [];
 	private readonly _acks: Array<{version: number; sentAt: number; ackedAt: number}> = [];
 	private readonly _lostLeases = new Set<string>();
-	private _failedAnnouncements = 0;
-	private _countsFailures = false;
 	/** The control host that stands still; nobody calls it. */
 	private _stopped: string | undefined;
 
+	private readonly _servers = new AnnouncingServers(this._clock, service, 2 * messageMs, () => {
+		const host = this._anyControl();
+		return {control: this._control(host), processor: this._machine(host).processor};
+	});
+
 	/** `_codec` compresses the texts on all hosts. */
 	constructor(private readonly _codec: TextCodec, private readonly _size: LeaderLoadSize) {
 		this._network.faults.minDelayMs = 1;
@@ -95,31 +97,28 @@
 			await this._clock.advance(10_000 / entryHosts); // eslint-disable-line no-await-in-loop -- one after the other
 		}
 
-		await this._startServers(servers, 'v1', 5000);
+		void this._servers.start(servers, 'v1', 5000);
 		await this._require('leases', () => this._entries.every(({follower}) => follower.lease.isValid() && follower.view.backendServers.size === servers));
 	}
 
 	/** Stops the leader for a time while a roll-out begins and configurations follow. */
 	async play(): Promise<LeaderLoadOutcome> {
 		const first = this._leader();
-		let hasRollout = false;
-		void this._control(first).startRollout(service, 'v2', 24_000).then(() => {
-			hasRollout = true;
-		});
-		await this._require('a roll-out', () => hasRollout);
+		void this._control(first).startRollout(service, 'v2', 24_000);
+		await this._require('a roll-out', () => this._entries.every(({follower}) => follower.view.serviceRollouts.has(service)));
 		const startedAt = this._clock.now();
 		this._acks.length = 0;
 		this._lostLeases.clear();
 		this._stopped = first;
 		this._network.partition([first], [...this._controlHosts.filter(host => host !== first), ...this._entryNames()]);
-		void this._startServers(Math.floor(this._size.servers / 2), 'v2', 1000);
+		void this._servers.start(Math.floor(this._size.servers / 2), 'v2', 1000);
 		await this._clock.advance(3000);
 		void this._order(0);
 		await this._clock.advance(settleMs - 3000);
-		this._countsFailures = true;
+		this._servers.failed = 0;
 		const samples: number[] = [];
 		while (this._clock.now() - startedAt < 14_000) {
-			const leader = this._controlMachines[this._controlHosts.indexOf(this._leader(first))]!;
+			const leader = this._machine(this._leader(first));
 			const used = leader.processor.usedMs;
 			if (this._clock.now() - startedAt === 6000 || this._clock.now() - startedAt === 10_000) {
 				void this._order(0);
@@ -140,7 +139,7 @@
 			ackMs: Math.max(...this._acks.map(({sentAt, ackedAt}) => ackedAt - sentAt)),
 			spreadMs: Math.max(...spread),
 			lostLeases: this._lostLeases.size,
-			failedAnnouncements: this._failedAnnouncements,
+			failedAnnouncements: this._servers.failed,
 			busiest: Math.max(...samples),
 		};
 	}
@@ -159,6 +158,10 @@
 		return this._controls[this._controlHosts.indexOf(host)]!;
 	}
 
+	private _machine(host: string): SimulatedMachine {
+		return this._controlMachines[this._controlHosts.indexOf(host)]!;
+	}
+
 	/** A control host that a caller may choose. */
 	private _anyControl(): string {
 		const hosts = this._controlHosts.filter(host => host !== this._stopped);
@@ -213,7 +216,8 @@
 			codec: this._codec,
 		});
 		const isSharing = () => follower.view.serviceRollouts.get(service)?.state === serviceRolloutState.inProgress;
-		const sessions = new StickySessions(processor, sessionMs, () => [...follower.view.serviceRollouts.values()].some(({state, holdsSessions}) => state === serviceRolloutState.inProgress && holdsSessions));
+		const trials = new TrialSessions();
+		const sessions = new StickySessions(processor, sessionMs, session => trials.mayMove(session));
 		const recorder = new ReleaseRecorder(() => isSharing() ? follower.view.serviceRollouts.get(service)!.revision : undefined);
 		recorder.onBacklog(() => {
 			follower.renewNow();
@@ -223,6 +227,7 @@
 		}
 
 		follower.onRevision(() => {
+			trials.update(follower.view);
 			const version = follower.view.routing?.version ?? 0;
 			if (version !== (applied.at(-1)?.version ?? 0)) {
 				applied.push({version, at: processor.busyUntil});
@@ -256,44 +261,6 @@
 		});
 	}
 
-	private async _startServers(count: number, release: string, withinMs: number): Promise<void> {
-		for (let index = 0; index < count; index++) {
-			void this._announce({
-				id: `i-${release}-${index}`, incarnation: 1, address: `10.${release.slice(1)}.${Math.floor(index / 250)}.${index % 250}:8080`, zone: 'z', kind: 'engine', offers: [{ref: 'model-0@1', inputCost: 1, outputCost: 1}], services: [service], checksFencing: false, checksSender: false, capacity: 12, release,
-			});
-			await this._clock.advance(withinMs / count); // eslint-disable-line no-await-in-loop -- one after the other
-		}
-	}
-
-	/** Announces a server at intervals to a control host, and to another one after a failure. */
-	private async _announce(server: BackendServer): Promise<void> {
-		for (;;) {
-			const host = this._anyControl();
-			const {processor} = this._controlMachines[this._controlHosts.indexOf(host)]!;
-			const timeout = new AbortController();
-			// eslint-disable-next-line no-await-in-loop -- attempts follow each other
-			const isAccepted = await Promise.race([this._callAnnounce(host, server, processor), sleep(this._clock, announceTimeoutMs, timeout.signal).then(() => false)]);
-			timeout.abort();
-			if (isAccepted) {
-				await sleep(this._clock, announceMs); // eslint-disable-line no-await-in-loop -- interval
-			} else {
-				this._failedAnnouncements += this._countsFailures ? 1 : 0;
-				await sleep(this._clock, resendMs); // eslint-disable-line no-await-in-loop -- backoff
-			}
-		}
-	}
-
-	private async _callAnnounce(host: string, server: BackendServer, processor: SimulatedMachine['processor']): Promise<boolean> {
-		await new Promise<void>(resolve => {
-			processor.run(2 * messageMs, resolve);
-		});
-		try {
-			return await this._control(host).announce(server);
-		} catch {
-			return false;
-		}
-	}
-
 	/** Sends a configuration with more routes, or with another time-out, to one control host after the other until it is acknowledged. */
 	private async _order(routes: number): Promise<void> {
 		const {version, source} = routes > 0 ? this._samples.addRoutes(routes) : this._samples.changeTimeout();
