Send log entries of a burst in joint batches

A proposal cost the leader two calls to each of eight other members, one with the entry and one with the commit index.

A leader now sends new entries at once after a quiet time, and otherwise joins those of 40 ms; the commit index goes along with them. The ledger keeps the former behaviour.

--- a/src/common/consensus/consensus-core.ts
+++ b/src/common/consensus/consensus-core.ts
@@ -39,7 +39,7 @@
 
 	/** Time at which `tick` must be called next. */
 	get nextDeadline(): number {
-		return this.leader?.heartbeatDue ?? this.state.electionDeadline;
+		return this.leader?.nextDeadline ?? this.state.electionDeadline;
 	}
 
 	/** Creates a new group. The first log entry holds its members and is the same on every member. */
--- a/src/common/consensus/core-state.ts
+++ b/src/common/consensus/core-state.ts
@@ -21,6 +21,8 @@
 	readonly random: RandomSource;
 	/** Highest version of commands that the state machine of this member applies; 1 by default. */
 	readonly commandVersion?: number | undefined;
+	/** Minimum interval in milliseconds between two batches of new entries of a leader; 0 by default. */
+	readonly appendIntervalMs?: number | undefined;
 	/** Start time of the process, if known. An earlier process cannot have acknowledged a heartbeat after it. */
 	readonly startedAt?: number;
 }
@@ -31,6 +33,7 @@
 	readonly rule: QuorumRule;
 	readonly log = new EntryLog();
 	readonly commandVersion: number;
+	readonly appendIntervalMs: number;
 	/** Time of the current input in milliseconds, from the caller's monotonic clock. */
 	now: number;
 	term: number;
@@ -64,6 +67,7 @@
 		this.self = options.self;
 		this.rule = options.rule;
 		this.commandVersion = options.commandVersion ?? 1;
+		this.appendIntervalMs = options.appendIntervalMs ?? 0;
 		this._random = options.random;
 		this.now = now;
 		this.term = stored.term;
--- a/src/common/consensus/leader-role.ts
+++ b/src/common/consensus/leader-role.ts
@@ -17,6 +17,10 @@
 	readonly commitHold = new CommitHold();
 	private readonly _startedAt: number;
 	private _heartbeatDue: number;
+	/** Time from which entries may be sent again. */
+	private _sendDue = -Infinity;
+	/** Index of the last entry that was sent. */
+	private _sentIndex = 0;
 	/** Set when a leadership transfer starts; the leader then holds no lease for the rest of the term. */
 	private _transfer: {to: Member; deadline: number; isSent: boolean} | undefined;
 
@@ -32,9 +36,9 @@
 		this.tick();
 	}
 
-	/** Time of the next heartbeat. */
-	get heartbeatDue(): number {
-		return this._heartbeatDue;
+	/** Time at which `tick` must be called next. */
+	get nextDeadline(): number {
+		return this.replication.isAllReleased ? this._heartbeatDue : Math.min(this._heartbeatDue, this._sendDue);
 	}
 
 	get isTransferring(): boolean {
@@ -66,8 +70,11 @@
 		if (now >= this._heartbeatDue) {
 			this._heartbeatDue = now + heartbeatIntervalMs;
 			this.replication.sendHeartbeats();
+			this.flush();
 			this.replication.sendAll();
 			this.advanceCommit();
+		} else {
+			this.flush();
 		}
 	}
 
@@ -75,6 +82,10 @@
 	append(content: Pick<LogEntry, 'command' | 'members'>): LogEntry {
 		const {log, term} = this._state;
 		const entry = {index: log.lastIndex + 1, term, ...content};
+		if (this._state.now < this._sendDue && this.replication.isAllReleased) {
+			this.replication.holdAfter(log.lastIndex);
+		}
+
 		this._state.appendEntries([entry]);
 		if (entry.members) {
 			this.replication.updateMembers();
@@ -83,9 +94,11 @@
 		return entry;
 	}
 
-	/** Sends the appended entries. */
+	/** Sends the appended entries, or holds them back until the interval between two batches is over. */
 	flush(): void {
-		this.replication.sendAll();
+		if (this.replication.isAllReleased || this._state.now >= this._sendDue) {
+			this._release();
+		}
 	}
 
 	/**
@@ -144,10 +157,23 @@
 		const to = others.sort((a, b) => matchOf(b) - matchOf(a))[0];
 		if (to && !this._transfer) {
 			this._transfer = {to, deadline: now + electionTimeoutMinMs, isSent: false};
+			this._release();
 			this._continueTransfer();
 		}
 	}
 
+	/** Sends all outstanding entries. Entries that follow within the interval are held back and sent together. */
+	private _release(): void {
+		const {log, now, appendIntervalMs} = this._state;
+		if (appendIntervalMs > 0 && log.lastIndex > this._sentIndex) {
+			this._sentIndex = log.lastIndex;
+			this._sendDue = now + appendIntervalMs;
+		}
+
+		this.replication.holdAfter(Infinity);
+		this.replication.sendAll();
+	}
+
 	private _continueTransfer(): void {
 		const {log, now, term} = this._state;
 		const transfer = this._transfer;
--- a/src/common/consensus/member-driver.ts
+++ b/src/common/consensus/member-driver.ts
@@ -11,7 +11,7 @@
 import {type StoredState} from './stored-state.js';
 import {type SyncWork} from './sync-work.js';
 
-type DriverOptions = Pick<MemberOptions<never, unknown>, 'group' | 'clock' | 'startedAt' | 'random' | 'storage' | 'rule' | 'counters' | 'commandVersion'>;
+type DriverOptions = Pick<MemberOptions<never, unknown>, 'group' | 'clock' | 'startedAt' | 'random' | 'storage' | 'rule' | 'counters' | 'commandVersion' | 'appendIntervalMs'>;
 
 /** Runs the core of one member: passes it inputs and timer ticks, syncs its state to disk, and emits the requests to send. */
 export class MemberDriver implements Disposable {
@@ -29,11 +29,11 @@
 
 	constructor(readonly self: string, private readonly _options: DriverOptions, stored: StoredState) {
 		const {
-			rule = new MajorityRule(), random, clock, startedAt, commandVersion,
+			rule = new MajorityRule(), random, clock, startedAt, commandVersion, appendIntervalMs,
 		} = _options;
 		this.groupId = stored.groupId;
 		this.core = new ConsensusCore({
-			self, rule, random: random.fork(self), startedAt, commandVersion,
+			self, rule, random: random.fork(self), startedAt, commandVersion, appendIntervalMs,
 		}, stored, clock.now());
 	}
 
--- a/src/common/consensus/member-options.ts
+++ b/src/common/consensus/member-options.ts
@@ -39,6 +39,11 @@
 	group: a command of a later version may only be proposed once all members apply it.
 	*/
 	readonly commandVersion?: number | undefined;
+	/**
+	Minimum interval in milliseconds between two batches of new entries that this member sends as a leader; 0 by default. Entries of a burst
+	then share the calls to the other members, and a proposal in a burst takes up to this time longer.
+	*/
+	readonly appendIntervalMs?: number;
 	readonly counters: Counters;
 	readonly logger: Logger;
 	/** Majority of all voters by default. */
--- a/src/common/consensus/replication.ts
+++ b/src/common/consensus/replication.ts
@@ -20,6 +20,8 @@
 /** Replicates the leader's log to the other members and tracks what they have synced. */
 export class Replication {
 	private readonly _progress = new Map<string, Progress>();
+	/** Entries up to this index may be sent. */
+	private _releasedIndex = Infinity;
 
 	constructor(private readonly _state: CoreState) {}
 
@@ -52,6 +54,16 @@
 		}
 	}
 
+	/** Whether all entries may be sent. */
+	get isAllReleased(): boolean {
+		return this._releasedIndex >= this._state.log.lastIndex;
+	}
+
+	/** Holds back the entries after an index, until they are released. */
+	holdAfter(index: number): void {
+		this._releasedIndex = index;
+	}
+
 	/** Sends outstanding entries or snapshots to every member. */
 	sendAll(): void {
 		for (const member of this._peers()) {
@@ -90,7 +102,7 @@
 		this._sendCommitIndexTo(call.to, progress);
 	}
 
-	/** Sends the commit index at once to members with nothing in flight; the others get it with their next batch. */
+	/** Sends the commit index at once to members with nothing in flight; the others get it with their next batch, and all do when entries are held back. */
 	sendCommitIndex(): void {
 		for (const member of this._peers()) {
 			this._sendCommitIndexTo(member, this._progress.get(member.id)!);
@@ -118,7 +130,7 @@
 
 	private _sendCommitIndexTo(member: Member, progress: Progress): void {
 		const commitIndex = Math.min(progress.matchIndex, this._state.commitIndex);
-		if (progress.mode === 'replicate' && progress.inFlight === 0 && progress.sentCommitIndex < commitIndex) {
+		if (this.isAllReleased && progress.mode === 'replicate' && progress.inFlight === 0 && progress.sentCommitIndex < commitIndex) {
 			this._sendHeartbeat(member);
 		}
 	}
@@ -152,7 +164,7 @@
 	/** Progress of a member to which a batch can be sent now; undefined if there is nothing to send or sending is blocked. */
 	private _sendableProgress(id: string): Progress | undefined {
 		const progress = this._progress.get(id);
-		if (!progress || progress.isPaused || progress.mode === 'snapshot' || progress.nextIndex > this._state.log.lastIndex) {
+		if (!progress || progress.isPaused || progress.mode === 'snapshot' || progress.nextIndex > Math.min(this._releasedIndex, this._state.log.lastIndex)) {
 			return undefined;
 		}
 
@@ -169,7 +181,7 @@
 	}
 
 	private _batch(nextIndex: number): LogEntry[] {
-		const entries = this._state.log.after(nextIndex - 1, maxBatchEntries);
+		const entries = this._state.log.after(nextIndex - 1, Math.min(maxBatchEntries, this._releasedIndex - nextIndex + 1));
 		let size = 0;
 		const end = entries.findIndex((entry, position) => {
 			size += entrySize(entry);
--- a/src/common/host/control-host.ts
+++ b/src/common/host/control-host.ts
@@ -63,6 +63,8 @@
 	readonly configurationBoundMs?: number;
 }
 
+/** Minimum interval in milliseconds between two batches of log entries: with nine members, bursts of changes take a quarter of a small processor. */
+const appendIntervalMs = 40;
 /** Timeout in milliseconds of a command of an operator or a backend server, including the search for the leader; the caller retries. */
 const commandTimeoutMs = 3000;
 /** Timeout in milliseconds of a read, including the wait until this host has caught up. */
@@ -79,7 +81,7 @@
 	static async start(options: ControlHostOptions): Promise<ControlHost> {
 		const state = new ControlState(options.codec);
 		const log = await LogMember.start<ControlCommand, ControlResult>({
-			...options, group: 'control', machine: state, commandVersion: controlCommandVersion, voterHosts: options.seeds(), isOpenGroup: true, contacts: options.seeds,
+			...options, group: 'control', machine: state, commandVersion: controlCommandVersion, appendIntervalMs, voterHosts: options.seeds(), isOpenGroup: true, contacts: options.seeds,
 		});
 		return new ControlHost(options, log, state);
 	}
--- a/src/testing/log-cluster.ts
+++ b/src/testing/log-cluster.ts
@@ -21,6 +21,8 @@
 	readonly retainedSize?: number;
 	readonly segmentSize?: number;
 	readonly rule?: QuorumRule;
+	/** Minimum interval in milliseconds between two batches of new entries; 0 by default. */
+	readonly appendIntervalMs?: number;
 	/** Hosts that create an open group, which any host may join; other hosts join through these. */
 	readonly seeds?: readonly string[];
 	/** Version of commands that a host applies; 1 by default. */
@@ -83,7 +85,7 @@
 	/** Starts a host without advancing the clock. @returns the error of a member that refuses to start. */
 	async launch(name: string, isBootstrap = true, onStart?: (host: LogHost) => void): Promise<{code?: string} | undefined> {
 		const host = this.host(name);
-		const {clockOf, wrapStorage, segmentSize, seeds, hasStartTime, regionOf, rule, snapshotInterval, retainedEntries, snapshotSize, retainedSize} = this._options;
+		const {clockOf, wrapStorage, segmentSize, seeds, hasStartTime, regionOf, rule, appendIntervalMs, snapshotInterval, retainedEntries, snapshotSize, retainedSize} = this._options;
 		const storage = new DiskLogStorage(host.disk.attach(), {segmentSize});
 		host.starts++;
 		const startNumber = host.starts;
@@ -109,6 +111,7 @@
 				counters: nullCounters,
 				logger: nullLogger,
 				rule,
+				appendIntervalMs,
 				snapshotInterval,
 				retainedEntries,
 				snapshotSize,
