Spare control hosts that are short of time or stand still

A renewal without a known leader carries no sections; they follow with the next one. Both new tests fail without the change.

--- a/src/common/control/control-follower.ts
+++ b/src/common/control/control-follower.ts
@@ -18,7 +18,7 @@
 } from './control-times.js';
 import {type ControlView} from './control-view.js';
 import {type EntryHost} from './entry-host.js';
-import {FollowerSections, partsByName} from './follower-sections.js';
+import {FollowerSections, partsByName, type SentParts} from './follower-sections.js';
 import {type FollowerSection} from './follower-section.js';
 import {HeldRenewal} from './held-renewal.js';
 import {LeaderClient} from './leader-client.js';
@@ -241,6 +241,7 @@
 			...this._options,
 			codec,
 			leader: () => this.leaderClient.target,
+			isSlow: host => this.leaderClient.isSlow(host),
 			current: () => this.view.routing,
 			onFetched: record => {
 				this._replica.replaceRouting(record);
@@ -257,7 +258,8 @@
 		const maxHoldMs = this._fetcher ? maxRenewHoldMs : renewHoldMs;
 		const holdMs = isDiscovering || !this._isHoldable ? 0 : maxHoldMs;
 		this._isHoldable = true;
-		const sent = this._sections.collect(term);
+		// A leader that may be short of time gets what the lease needs first; the sections follow with the next renewal.
+		const sent: SentParts = isDiscovering ? new Map() : this._sections.collect(term);
 		let reply: RenewReply;
 		this._held.holder = holdMs > 0 ? this.leaderClient.target : undefined;
 		try {
--- a/src/common/control/follower-sections.ts
+++ b/src/common/control/follower-sections.ts
@@ -2,7 +2,8 @@
 import {type Logger} from '../base/logger.js';
 import {type FollowerSection} from './follower-section.js';
 
-type SentParts = ReadonlyMap<FollowerSection<unknown, unknown>, unknown>;
+/** Parts that were sent with a renewal, by section. */
+export type SentParts = ReadonlyMap<FollowerSection<unknown, unknown>, unknown>;
 
 /** Sections of the renewals of a daemon. An exception in one section does not affect the lease or the other sections. */
 export class FollowerSections {
--- a/src/common/control/leader-client.test.ts
+++ b/src/common/control/leader-client.test.ts
@@ -1,5 +1,5 @@
 import {expect, it} from 'vitest';
-import {PeerCallError} from '../base/peer-errors.js';
+import {PeerCallError, PeerTimeoutError, PeerUnreachableError} from '../base/peer-errors.js';
 import {peerMethod} from '../base/peer-method.js';
 import {type PeerTransport} from '../base/peer-transport.js';
 import {SeededRandom} from '../base/seeded-random.js';
@@ -84,3 +84,23 @@
 		expect(calledPeers).toEqual(expected);
 	}
 });
+
+// Guards against attempts that return to a host that stands still while others may lead.
+it('does not return to a host that has let a call time out while there are others', async () => {
+	const calledPeers: string[] = [];
+	const transport: PeerTransport = {
+		self: 'entry',
+		async call(peer: string) {
+			calledPeers.push(peer);
+			throw peer === 'a' ? new PeerTimeoutError('no reply') : new PeerUnreachableError('no connection');
+		},
+		handle: () => ({dispose: () => undefined}),
+	};
+	const client = new LeaderClient(transport, () => ['a', 'b', 'c'], new ManualClock(), new SeededRandom(1));
+	for (let attempt = 0; attempt < 12; attempt++) {
+		await client.attempt(method, {}, 100).catch(() => undefined); // eslint-disable-line no-await-in-loop, promise/prefer-await-to-then -- attempts follow each other
+	}
+
+	expect(calledPeers.filter(peer => peer === 'a')).toHaveLength(1);
+	expect(new Set(calledPeers)).toEqual(new Set(['a', 'b', 'c']));
+});
--- a/src/common/control/leader-client.ts
+++ b/src/common/control/leader-client.ts
@@ -55,6 +55,11 @@
 		return this._target === undefined ? 1 : this._factorOf(this._target);
 	}
 
+	/** Whether a call to a host has timed out in the last seconds. */
+	isSlow(host: string): boolean {
+		return this._factorOf(host) > 1;
+	}
+
 	/** Backoff in milliseconds before the next attempt: 0 after a success, and short after the first hint. */
 	get backoffMs(): number {
 		if (this._redirects === 1) {
@@ -173,7 +178,10 @@
 		const voters = this._voters();
 		this._redirects = 0;
 		this._hint = undefined;
-		this._target = voters[(voters.indexOf(target) + 1) % voters.length];
+		const first = voters.indexOf(target) + 1;
+		const others = [...voters.slice(first), ...voters.slice(0, first)];
+		// A host that has just let a call time out may stand still, and costs the time of another call.
+		this._target = others.find(voter => voter !== target && !this.isSlow(voter)) ?? others[0];
 	}
 }
 
--- a/src/common/control/routing-fetcher.test.ts
+++ b/src/common/control/routing-fetcher.test.ts
@@ -34,7 +34,7 @@
 	});
 	let current: RoutingRecord | undefined;
 	const fetcher = new RoutingFetcher({
-		transport: network.attach('e'), voters: () => ['v'], leader: () => undefined, clock, random, counters: nullCounters, logger: nullLogger, codec: plainTextCodec, current: () => current,
+		transport: network.attach('e'), voters: () => ['v'], leader: () => undefined, isSlow: () => false, clock, random, counters: nullCounters, logger: nullLogger, codec: plainTextCodec, current: () => current,
 		onFetched(record) {
 			current = record;
 		},
@@ -52,3 +52,29 @@
 	fetcher.dispose();
 	contents.dispose();
 });
+
+// Guards against a configuration that arrives late because its content is requested from a host that stands still.
+it('asks hosts of which no call has timed out', async () => {
+	const clock = new ManualClock();
+	const random = new SeededRandom(1);
+	const asked = new Set<string>();
+	for (let index = 0; index < 20; index++) {
+		const fetcher = new RoutingFetcher({
+			transport: {
+				self: 'e',
+				async call(peer) {
+					asked.add(peer);
+					return new Promise<never>(() => {
+						// Never settled.
+					});
+				},
+				handle: () => ({dispose: () => undefined}),
+			},
+			voters: () => ['a', 'b', 'c', 'd'], leader: () => 'a', isSlow: host => host === 'b', clock, random, counters: nullCounters, logger: nullLogger, codec: plainTextCodec, current: () => undefined, onFetched: () => undefined,
+		});
+		fetcher.request(1);
+		fetcher.dispose();
+	}
+
+	expect([...asked].sort()).toEqual(['c', 'd']);
+});
--- a/src/common/control/routing-fetcher.ts
+++ b/src/common/control/routing-fetcher.ts
@@ -20,6 +20,8 @@
 	readonly voters: () => readonly string[];
 	/** The presumed leader, which is asked only when another host does not answer. */
 	readonly leader: () => string | undefined;
+	/** Whether calls to a host have recently timed out; it is asked only when there is no other. */
+	readonly isSlow: (host: string) => boolean;
 	readonly clock: Clock;
 	readonly random: RandomSource;
 	readonly counters: Counters;
@@ -111,14 +113,16 @@
 	the leader after a failure, because others may lag or run an earlier release.
 	*/
 	private _chooseHost(): string {
-		const {voters, leader, random} = this._options;
+		const {voters, leader, isSlow, random} = this._options;
 		if (this._host !== undefined && this._failures === 0) {
 			return this._host;
 		}
 
 		const all = voters();
 		const leading = leader();
-		const others = all.filter(host => host !== leading);
+		const followers = all.filter(host => host !== leading);
+		const sound = followers.filter(host => !isSlow(host));
+		const others = sound.length > 0 ? sound : followers;
 		this._host = others.length === 0 || (this._failures % 2 === 1 && leading !== undefined) ? leading ?? all[0]! : others[random.integer(others.length)]!;
 		return this._host;
 	}
