Give the daemons of a test ports that no other test can get

The test asked the system for free ports and closed them again, and until the daemon listened, the system gave one of them to another process. The group of three could not be created without that daemon.

Ruled out: the control code, whose two other daemons ran and said that there was no connection to the third. The ports now come from below the range from which the system chooses, and are checked as before; what the test expects is unchanged. The earlier hang of the same test, of which no log was kept, fits.

--- a/src/daemon/operator-pages.test.ts
+++ b/src/daemon/operator-pages.test.ts
@@ -1,10 +1,11 @@
 import {Buffer} from 'node:buffer';
 import {spawn} from 'node:child_process';
+import {randomInt} from 'node:crypto';
 import {once} from 'node:events';
 import {
 	cp, mkdtemp, readdir, readFile, rm, symlink,
 } from 'node:fs/promises';
-import {createServer, type AddressInfo} from 'node:net';
+import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -12,18 +13,26 @@
 
 const root = path.resolve(import.meta.dirname, '../..');
 
-/** Finds free ports on loopback. */
+/** Ports below those that the system chooses, which a process of another test could get before the daemon listens. */
+const firstPort = 20_000;
+const portCount = 10_000;
+
+/** Finds free ports on loopback, from a random one on. */
 async function freePorts(count: number): Promise<number[]> {
-	const servers = await Promise.all(Array.from({length: count}, async () => new Promise<ReturnType<typeof createServer>>(resolve => {
+	const ports: number[] = [];
+	for (let port = firstPort + randomInt(portCount); ports.length < count; port++) {
 		const server = createServer();
-		server.listen(0, '127.0.0.1', () => {
-			resolve(server);
-		});
-	})));
-	const ports = servers.map(server => (server.address() as AddressInfo).port);
-	await Promise.all(servers.map(async server => new Promise(resolve => {
-		server.close(resolve);
-	})));
+		server.listen(port, '127.0.0.1');
+		try {
+			await once(server, 'listening'); // eslint-disable-line no-await-in-loop -- one port after the other
+			server.close();
+			await once(server, 'close'); // eslint-disable-line no-await-in-loop -- as above
+			ports.push(port);
+		} catch {
+			// Another process uses the port.
+		}
+	}
+
 	return ports;
 }
 
