Limit what an answer costs a host besides its body

What callers saw: beside a server that sends bytes without end, requests for other servers of the same host got no answer within their deadline.

Cause: the HTTP client limits the names and values of headers only. The status line, chunk sizes and their extensions have no limit, each interim answer starts the count anew, and beyond its limit the client parses on to the end of what was read, with a new error for each header. And each chunk costs the parser about as long as a kilobyte does, while nothing limits the time that one server takes. Only the time of the attempt ended such answers.

ReadPacer lets connections with small chunks take turns, 40,000 chunks a second beyond 100 of each connection.

--- a/src/common/admission/token-bucket.ts
+++ b/src/common/admission/token-bucket.ts
@@ -21,6 +21,12 @@
 		this._level = Math.min(this._level, capacity);
 	}
 
+	/** Units in the bucket; negative when more than expected were taken. */
+	available(now: number): number {
+		this._refill(now);
+		return this._level;
+	}
+
 	/** Milliseconds until the bucket holds the units, or is full if the units exceed its capacity; 0 if it does now. */
 	waitMs(units: number, now: number): number {
 		this._refill(now);
--- a/src/node/http-backend-port.ts
+++ b/src/node/http-backend-port.ts
@@ -10,6 +10,7 @@
 import {hasBody} from '../common/forwarding/has-body.js';
 import {type AttemptTerms, type ForwardMessage} from '../common/forwarding/forward-request.js';
 import {type BackendCodec} from './backend-codec.js';
+import {ReadPacer} from './read-pacer.js';
 import {SystemClock} from './system-clock.js';
 import {timedConnector} from './timed-connector.js';
 
@@ -29,8 +30,14 @@
 /** Sends attempts over persistent HTTP connections, with one pool per address. */
 export class HttpBackendPort implements BackendPort, Disposable {
 	private readonly _targets = new Map<string, Target>();
+	private readonly _pacer: ReadPacer;
 
-	constructor(private readonly _codec: BackendCodec, private readonly _logger: Logger, private readonly _clock: Clock = new SystemClock()) {}
+	constructor(private readonly _codec: BackendCodec, private readonly _logger: Logger, private readonly _clock: Clock = new SystemClock()) {
+		this._pacer = new ReadPacer(_clock);
+		this._pacer.onSlowed(address => {
+			_logger.info({address}, 'answer arrives in small chunks and is slowed down');
+		});
+	}
 
 	send(message: ForwardMessage, terms: AttemptTerms, events: AttemptEvents): AttemptHandle {
 		const attempt = new HttpAttempt({
@@ -54,6 +61,7 @@
 	}
 
 	dispose(): void {
+		this._pacer.dispose();
 		for (const {pool} of this._targets.values()) {
 			void pool.destroy();
 		}
@@ -69,7 +77,7 @@
 			const pool = new Pool(`http://${address}`, {
 				connections: maxConnections,
 				pipelining: 1,
-				connect: closingConnector(),
+				connect: closingConnector(this._pacer),
 				keepAliveTimeout: idleTimeoutMs,
 				allowH2: false,
 			});
@@ -99,8 +107,8 @@
 Creates a connector whose connections stay closed. The HTTP client opens a new one in place of one that it closed to abort a
 request, because it treats errors with its own code as if the request were still to be sent.
 */
-function closingConnector(): buildConnector.connector {
-	const connectWithin = timedConnector(connectTimeoutMs);
+function closingConnector(pacer: ReadPacer): buildConnector.connector {
+	const connectWithin = timedConnector(connectTimeoutMs, pacer);
 	return (options, callback) => {
 		connectWithin(options, (...result) => {
 			const [, socket] = result;
