Leave the event loop to others between two turns of slowed connections

A turn in which no connection takes a chunk was followed by the next one at once. Found by the test of ReadPacer, which did not end; real connections take at least one chunk in a turn, so that no caller saw it.

--- a/src/node/read-pacer.ts
+++ b/src/node/read-pacer.ts
@@ -12,6 +12,8 @@
 const sharedBurst = 2000;
 /** Chunks that a connection takes before the next one in the queue. */
 const turnChunks = 256;
+/** Time in milliseconds that leaves the event loop to others between two turns. */
+const minWaitMs = 1;
 
 /** Shares the processor time for answers in small chunks among connections. Each chunk costs the parser about as long as a kilobyte does. */
 export class ReadPacer implements Disposable {
@@ -55,15 +57,16 @@
 	}
 
 	private _schedule(): void {
-		this._timer ??= this._clock.setTimer(this._shared.waitMs(turnChunks, this._clock.now()), () => {
+		this._timer ??= this._clock.setTimer(Math.max(minWaitMs, this._shared.waitMs(turnChunks, this._clock.now())), () => {
 			this._timer = undefined;
 			this._resumeWaiting();
 		});
 	}
 
 	private _resumeWaiting(): void {
-		// A connection that has more chunks waits again, behind the others.
-		for (const turns of this._waiting) {
+		// A connection that has more chunks waits again, behind the others and for the next time.
+		const waiting = [...this._waiting];
+		for (const turns of waiting) {
 			const shared = this._shared.available(this._clock.now());
 			if (shared < 1) {
 				break;
