Report a reset of a connection that was slowed down before

What callers saw: an answer that ends with its connection counted as complete when its server reset the connection, if an earlier answer on the connection had arrived in small chunks.

Cause: Node.js caches the address of the peer at the first access. The guard read it for the log line, and a reset that arrives together with data is recognized by an address that is missing at the end.

Ruled out: the order of end and error of a connection that waits for its turn; the same answer without the earlier one is reported as broken.

Change: the connector passes the address that it connects to.

--- /dev/null
+++ b/src/node/guarded-reads.test.ts
@@ -0,0 +1,85 @@
+import {
+	createServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
+import {afterEach, expect, it} from 'vitest';
+import {BackendFormat} from '../../platform/backend-format.js';
+import {nullLogger} from '../common/base/null-logger.js';
+import {HttpBackendPort} from './http-backend-port.js';
+
+let server: Server | undefined;
+let port: HttpBackendPort | undefined;
+let address = '';
+const sockets = new Set<Socket>();
+
+afterEach(() => {
+	port?.dispose();
+	for (const socket of sockets) {
+		socket.destroy();
+	}
+
+	sockets.clear();
+	server?.close();
+});
+
+/** Calls back for each request of a connection, with its number. */
+async function listen(onRequest: (socket: Socket, request: number) => void): Promise<void> {
+	server = createServer(socket => {
+		let requests = 0;
+		sockets.add(socket);
+		socket.on('error', () => undefined);
+		socket.on('data', () => {
+			onRequest(socket, ++requests);
+		});
+	});
+	await new Promise<void>(resolve => {
+		server!.listen(0, '127.0.0.1', resolve);
+	});
+	port = new HttpBackendPort(new BackendFormat(), nullLogger);
+	address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+/** Sends a request. @returns 'end', or the reason of the failure. */
+async function send(method = 'GET', onData?: () => void): Promise<string> {
+	return new Promise(resolve => {
+		port!.send({
+			method, target: '/', headers: ['host', 'h'], body: undefined,
+		}, {
+			requestId: 'q', serverId: 's', address, maxConnections: 1, remainingMs: 5000, customer: undefined, model: undefined, priority: undefined, resumeAfter: undefined, repetition: 'idempotent',
+		}, {
+			mayStart: () => true,
+			onHead: () => undefined,
+			onData() {
+				onData?.();
+				return true;
+			},
+			onEnd() {
+				resolve('end');
+			},
+			onFailure({reason}) {
+				resolve(reason);
+			},
+		});
+	});
+}
+
+// Guards against a reset that is taken for the regular end of an answer, on a connection with an earlier answer that was slowed down.
+it('reports a reset of a connection that was slowed down', async () => {
+	let accepted: Socket | undefined;
+	await listen((socket, request) => {
+		accepted = socket;
+		socket.write(request === 1
+			? `HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(5000)}0\r\n\r\n`
+			: `HTTP/1.1 200 OK\r\n\r\n${'x'.repeat(4000)}`);
+	});
+	expect(await send()).toBe('end');
+	let pieces = 0;
+	const ending = await send('GET', () => {
+		if (++pieces === 1) {
+			// The data and the reset arrive in one turn of the event loop.
+			accepted!.write('x'.repeat(4000));
+			accepted!.resetAndDestroy();
+		}
+	});
+	expect(sockets.size).toBe(1);
+	expect(ending).not.toBe('end');
+});
--- a/src/node/guarded-reads.ts
+++ b/src/node/guarded-reads.ts
@@ -9,7 +9,7 @@
 Bounds what the answers on a connection cost the HTTP client: bytes besides their bodies are limited, small chunks wait for their
 turn, and nothing is parsed after the connection was given up.
 */
-export function guardReads(socket: Socket, pacer: ReadPacer): void {
+export function guardReads(socket: Socket, pacer: ReadPacer, address: string): void {
 	const scanner = new AnswerScanner();
 	const turns = pacer.open(() => {
 		if (!socket.destroyed) {
@@ -63,7 +63,8 @@
 			const end = known + followed.bytes;
 			if (end < bytes.length) {
 				unshift(bytes.subarray(end));
-				turns.wait(`${socket.remoteAddress}:${socket.remotePort}`);
+				// The address properties of the socket stay unread: it caches them, and their absence tells a reset from an end.
+				turns.wait(address);
 			}
 
 			return end === 0 ? null : bytes.subarray(0, end);
--- a/src/node/timed-connector.ts
+++ b/src/node/timed-connector.ts
@@ -20,7 +20,7 @@
 			callback(...result);
 		});
 		makeStrict(socket);
-		guardReads(socket, pacer);
+		guardReads(socket, pacer, `${options.hostname}:${options.port}`);
 		const timer = setTimeout(() => {
 			socket.destroy(new errors.ConnectTimeoutError(`no connection to ${options.hostname}:${options.port} within ${timeoutMs} ms`));
 		}, timeoutMs);
