Count the overhead of answers to requests with any method

What callers saw: requests with a method such as M-SEARCH failed with ANSWER_OVERHEAD once the heads of all answers on a connection exceeded 32 KiB.

Cause: the guard recognized the beginning of a request only if its method has letters alone, so the count went on, and the framing of the answer was that of the method before.

Change: any token is a method.

Evidence: 20 answers of 4 KB on one connection, guarded-reads.test.ts: GET passes before and after, M-SEARCH fails before (ANSWER_OVERHEAD) and passes after.

--- a/src/node/guarded-reads.test.ts
+++ b/src/node/guarded-reads.test.ts
@@ -83,3 +83,15 @@
 	expect(sockets.size).toBe(1);
 	expect(ending).not.toBe('end');
 });
+
+// Guards against bytes that are summed up over all answers of a connection because its requests are not recognized.
+it.each(['GET', 'M-SEARCH'])('counts the bytes of each answer to %s alone', async method => {
+	await listen(socket => {
+		socket.write(`HTTP/1.1 200 OK\r\nx-a: ${'b'.repeat(4000)}\r\ncontent-length: 0\r\n\r\n`);
+	});
+	for (let i = 0; i < 20; i++) {
+		expect(await send(method)).toBe('end'); // eslint-disable-line no-await-in-loop -- one connection
+	}
+
+	expect(sockets.size).toBe(1);
+});
--- a/src/node/guarded-reads.ts
+++ b/src/node/guarded-reads.ts
@@ -3,7 +3,7 @@
 import {AnswerScanner} from './answer-scanner.js';
 import {type ReadPacer} from './read-pacer.js';
 
-const requestLine = /^(?<method>[A-Z]+) \S+ HTTP\/1\.1\r\n/v;
+const requestLine = /^(?<method>\S+) \S+ HTTP\/1\.1\r\n/v;
 
 /**
 Bounds what the answers on a connection cost the HTTP client: bytes besides their bodies are limited, small chunks wait for their
