Pass on an answer before the bytes that follow it are judged

What callers saw: an answer to HEAD, or one of 204 or 304, failed with ANSWER_OVERHEAD when its server sent a body with it all the same and both arrived in one read. The HTTP client takes such an answer and closes the connection.

Cause: the guard judged a read as a whole. A body where none belongs is followed as a head, and exceeds 1000 lines or 32 KiB in the read that has the answer.

Change: a read ends with the answer; what follows it is read on its own, and by then the HTTP client has closed a connection that it does not trust.

Evidence: guarded-reads.test.ts, 50,000 bytes after a head: 3 of 3 cases fail before the change and pass after it.

--- a/src/node/answer-scanner.ts
+++ b/src/node/answer-scanner.ts
@@ -46,6 +46,12 @@
 	/** Bytes until the end of the body or of the chunk. */
 	private _remaining = 0;
 	private _hasChunkSize = false;
+	private _hasEnded = false;
+
+	/** Whether the last bytes that were followed complete an answer. */
+	get hasEnded(): boolean {
+		return this._hasEnded;
+	}
 
 	/** Expects the answer to a request that begins now. */
 	begin(method: string): void {
@@ -56,14 +62,16 @@
 	}
 
 	/**
-	Follows bytes as far as the beginning of the chunk after `maxChunks`.
+	Follows bytes as far as the end of an answer, or the beginning of the chunk after `maxChunks`. What follows an answer must not
+	keep the parser from it.
 	@returns the number of bytes that were followed, and of chunks that began in them.
 	@throws AnswerOverheadError
 	*/
 	follow(bytes: Uint8Array, maxChunks: number): {readonly bytes: number; readonly chunks: number} {
 		let at = 0;
 		let chunks = 0;
-		while (at < bytes.length) {
+		this._hasEnded = false;
+		while (at < bytes.length && !this._hasEnded) {
 			if (this._state === framingState.bodyToClose) {
 				return {bytes: bytes.length, chunks};
 			}
@@ -99,6 +107,11 @@
 		return {bytes: at, chunks};
 	}
 
+	private _endAnswer(): void {
+		this._hasEnded = true;
+		this._beginHead();
+	}
+
 	private _beginHead(): void {
 		this._state = framingState.head;
 		this._status = undefined;
@@ -166,7 +179,7 @@
 		this._beginLine();
 		if (this._state === framingState.trailers) {
 			if (line === '') {
-				this._beginHead();
+				this._endAnswer();
 			}
 		} else if (line === '') {
 			// The parser ignores blank lines before an answer.
@@ -191,8 +204,10 @@
 	}
 
 	private _endHead(): void {
-		if (this._status! < firstFinalStatus || !this._hasBody || noBodyStatuses.has(this._status!)) {
+		if (this._status! < firstFinalStatus) {
 			this._beginHead();
+		} else if (!this._hasBody || noBodyStatuses.has(this._status!)) {
+			this._endAnswer();
 		} else if (this._isChunked) {
 			this._state = framingState.chunkHeader;
 			this._remaining = 0;
@@ -202,7 +217,7 @@
 			this._state = framingState.sizedBody;
 			this._remaining = this._length;
 			if (!(this._length > 0)) {
-				this._beginHead();
+				this._endAnswer();
 			}
 		}
 	}
@@ -211,7 +226,7 @@
 		if (this._state === framingState.chunkData) {
 			this._state = framingState.chunkHeader;
 		} else {
-			this._beginHead();
+			this._endAnswer();
 		}
 	}
 }
--- a/src/node/guarded-reads.test.ts
+++ b/src/node/guarded-reads.test.ts
@@ -95,3 +95,16 @@
 
 	expect(sockets.size).toBe(1);
 });
+
+// Guards against an answer that is lost because of the bytes after it, such as the body that a server sends with an answer to HEAD.
+it.each([
+	['HEAD', '200 OK'],
+	['GET', '204 No Content'],
+	['GET', '304 Not Modified'],
+])('passes on an answer to %s of %s that has a body all the same', async (method, status) => {
+	await listen(socket => {
+		const body = 'abc\r\n'.repeat(10_000);
+		socket.write(`HTTP/1.1 ${status}\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
+	});
+	expect(await send(method)).toBe('end');
+});
--- a/src/node/guarded-reads.ts
+++ b/src/node/guarded-reads.ts
@@ -63,8 +63,10 @@
 			const end = known + followed.bytes;
 			if (end < bytes.length) {
 				unshift(bytes.subarray(end));
-				// The address properties of the socket stay unread: it caches them, and their absence tells a reset from an end.
-				turns.wait(address);
+				if (!scanner.hasEnded) {
+					// The address properties of the socket stay unread: it caches them, and their absence tells a reset from an end.
+					turns.wait(address);
+				}
 			}
 
 			return end === 0 ? null : bytes.subarray(0, end);
