Bound the time that slowed connections take in one turn

What callers saw: on a busy processor, requests of other callers waited while a host processed answers in small chunks, without a bound once a chunk took 25 µs or more from the socket to the caller.

Cause: the pacer resumed waiting connections until its bucket was empty, and the bucket fills up by the time that passes, also while chunks are processed: 40,000 a second are 25 µs each.

Ruled out: the burst alone; 2000 chunks of 20 µs take 40 ms.

Change: no connection gets a turn after 5 ms, and the next turn begins at the earliest after the time that this one has taken.

--- /dev/null
+++ b/src/node/read-pacer.test.ts
@@ -0,0 +1,83 @@
+import {expect, it} from 'vitest';
+import {type Clock} from '../common/base/clock.js';
+import {type Disposable} from '../common/base/disposable.js';
+import {ReadPacer, type ReadTurns} from './read-pacer.js';
+
+const maxHeldMs = 50;
+
+/** Clock of a processor that is busy with chunks; timers run on request. */
+class BusyClock implements Clock {
+	private _now = 0;
+	private readonly _timers: Array<{readonly due: number; readonly callback: () => void}> = [];
+
+	now(): number {
+		return this._now;
+	}
+
+	wallTime(): number {
+		return this._now;
+	}
+
+	setTimer(delayMs: number, callback: () => void): Disposable {
+		const timer = {due: this._now + Math.max(1, delayMs), callback};
+		this._timers.push(timer);
+		return {
+			dispose: () => {
+				const index = this._timers.indexOf(timer);
+				if (index !== -1) {
+					this._timers.splice(index, 1);
+				}
+			},
+		};
+	}
+
+	work(ms: number): void {
+		this._now += ms;
+	}
+
+	/** Runs the next timer. @returns how long it held the processor, in milliseconds. */
+	runTimer(): number {
+		this._timers.sort((a, b) => a.due - b.due);
+		const {due, callback} = this._timers.shift()!;
+		this._now = Math.max(this._now, due);
+		const startedAt = this._now;
+		callback();
+		return this._now - startedAt;
+	}
+}
+
+/** Opens connections that always have more chunks, each of which takes `chunkMs` to process. */
+function openEndless(pacer: ReadPacer, clock: BusyClock, connections: number, chunkMs: number): {readonly taken: number[]} {
+	const taken: number[] = [];
+	for (let i = 0; i < connections; i++) {
+		taken.push(0);
+		const read = () => {
+			const chunks = turns.available;
+			turns.take(chunks);
+			taken[i]! += chunks;
+			clock.work(chunks * chunkMs);
+			turns.wait('a');
+		};
+
+		const turns: ReadTurns = pacer.open(read);
+		read();
+	}
+
+	return {taken};
+}
+
+// Guards against an event loop that is held because the bucket fills up again while its chunks are processed.
+it.each([0.004, 0.02, 0.03])('bounds a turn when each chunk takes %d ms', chunkMs => {
+	const clock = new BusyClock();
+	const pacer = new ReadPacer(clock);
+	const {taken} = openEndless(pacer, clock, 20, chunkMs);
+	const endAt = clock.now() + 2000;
+	let maxMs = 0;
+	while (clock.now() < endAt) {
+		maxMs = Math.max(maxMs, clock.runTimer());
+	}
+
+	expect(maxMs).toBeLessThan(maxHeldMs);
+	// All connections get on.
+	expect(Math.min(...taken)).toBeGreaterThan(Math.max(...taken) / 2);
+});
--- a/src/node/read-pacer.ts
+++ b/src/node/read-pacer.ts
@@ -12,6 +12,8 @@
 const sharedBurst = 2000;
 /** Chunks that a connection takes before the next one in the queue. */
 const turnChunks = 256;
+/** Time in milliseconds after which no further connection gets a turn before the event loop has served others. */
+const maxResumeMs = 5;
 
 /** Shares the processor time for answers in small chunks among connections. Each chunk costs the parser about as long as a kilobyte does. */
 export class ReadPacer implements Disposable {
@@ -54,27 +56,33 @@
 		this._waiting.clear();
 	}
 
-	private _schedule(): void {
-		this._timer ??= this._clock.setTimer(this._shared.waitMs(turnChunks, this._clock.now()), () => {
-			this._timer = undefined;
+	private _schedule(minDelayMs = 0): void {
+		this._timer ??= this._clock.setTimer(Math.max(minDelayMs, this._shared.waitMs(turnChunks, this._clock.now())), () => {
 			this._resumeWaiting();
 		});
 	}
 
 	private _resumeWaiting(): void {
-		// A connection that has more chunks waits again, behind the others.
-		for (const turns of this._waiting) {
-			const shared = this._shared.available(this._clock.now());
-			if (shared < 1) {
-				break;
-			}
-
-			this._waiting.delete(turns);
-			turns.resume(Math.min(turnChunks, shared));
-		}
+		const startedAt = this._clock.now();
+		let elapsedMs = 0;
+		try {
+			// A connection that has more chunks waits again, behind the others.
+			for (const turns of this._waiting) {
+				const shared = this._shared.available(startedAt + elapsedMs);
+				if (shared < 1 || elapsedMs >= maxResumeMs) {
+					break;
+				}
 
-		if (this._waiting.size > 0) {
-			this._schedule();
+				this._waiting.delete(turns);
+				turns.resume(Math.min(turnChunks, shared));
+				elapsedMs = this._clock.now() - startedAt;
+			}
+		} finally {
+			this._timer = undefined;
+			if (this._waiting.size > 0) {
+				// The bucket fills up again while chunks are processed, so it alone does not bound their share of the time.
+				this._schedule(elapsedMs);
+			}
 		}
 	}
 }
