Guard the calls of a daemon for orders and ratings

What callers saw: an order to an engine, or a call for a rating, did not end when the other end sent interim answers without end; with other bytes without end, it held the event loop of the daemon until its timeout of 3 or 10 s.

Cause: these two clients did not use the connector that guards reads. Their timeouts begin anew with each interim answer, and the body of a rating had no limit.

Ruled out: the other users of the HTTP client; all of them use timedConnector.

Change: both use it; the timeout covers the whole call, and a body may have 64 KiB.

--- a/src/node/http-order-client.ts
+++ b/src/node/http-order-client.ts
@@ -4,13 +4,16 @@
 import {type OrderClient} from '../common/orders/order-client.js';
 import {OrderError} from '../common/orders/order-error.js';
 import {orderPath, engineHeaders} from './engine-protocol.js';
+import {timedConnector} from './timed-connector.js';
 
 /** Timeout in milliseconds. An engine acknowledges an order immediately and carries it out afterwards. */
 const timeoutMs = 3000;
+/** Bytes of the body of an answer, which has no content. */
+const maxAnswerBytes = 64 * 1024;
 
 /** Sends orders to engines over HTTP: `POST /v1/orders` with the fencing number in a header. */
 export class HttpOrderClient implements OrderClient, Disposable {
-	private readonly _agent = new Agent({headersTimeout: timeoutMs, bodyTimeout: timeoutMs, connect: {timeout: timeoutMs}});
+	private readonly _agent = new Agent({connect: timedConnector(timeoutMs), maxResponseSize: maxAnswerBytes});
 
 	/** `_secret` is sent with each order, for engines that authenticate the sender. */
 	constructor(private readonly _secret: string | undefined) {}
@@ -21,6 +24,8 @@
 				origin: `http://${server.address}`,
 				path: orderPath,
 				method: 'POST',
+				// The timeouts of the client begin anew with each interim answer and each piece of a body.
+				signal: AbortSignal.timeout(timeoutMs),
 				headers: {
 					'content-type': 'application/json',
 					[engineHeaders.fencing]: String(fencing),
--- a/src/node/http-rating-client.ts
+++ b/src/node/http-rating-client.ts
@@ -3,6 +3,7 @@
 import {AppError} from '../common/base/app-error.js';
 import {type Disposable} from '../common/base/disposable.js';
 import {type RatingClient, type RatingRequest} from '../common/routing/rating-client.js';
+import {timedConnector} from './timed-connector.js';
 
 /** The rating service returned no rating. */
 export class RatingError extends AppError {
@@ -14,10 +15,12 @@
 /** Time in milliseconds after the last failure at which a rating service that is down is tried again. */
 const retryAfterMs = 5000;
 const timeoutMs = 10_000;
+/** Bytes of the body of an answer: a rating. */
+const maxAnswerBytes = 64 * 1024;
 
 /** Requests ratings over HTTP: `POST /v1/ratings`, answered with `{"rating": 0…1}`. */
 export class HttpRatingClient implements RatingClient, Disposable {
-	private readonly _agent = new Agent({headersTimeout: timeoutMs, bodyTimeout: timeoutMs});
+	private readonly _agent = new Agent({connect: timedConnector(timeoutMs), maxResponseSize: maxAnswerBytes});
 	private _consecutiveFailures = 0;
 	private _lastFailureAt = 0;
 
@@ -49,8 +52,15 @@
 	}
 
 	private async _post(req: RatingRequest, signal?: AbortSignal): Promise<number> {
+		// The timeouts of the client begin anew with each interim answer and each piece of a body.
+		const timeout = AbortSignal.timeout(timeoutMs);
 		const res = await this._agent.request({
-			origin: this._url!, path: '/v1/ratings', method: 'POST', signal, headers: {'content-type': 'application/json'}, body: JSON.stringify(req),
+			origin: this._url!,
+			path: '/v1/ratings',
+			method: 'POST',
+			signal: signal ? AbortSignal.any([signal, timeout]) : timeout,
+			headers: {'content-type': 'application/json'},
+			body: JSON.stringify(req),
 		});
 		const {rating} = await res.body.json() as {rating?: unknown};
 		if (res.statusCode !== 200 || typeof rating !== 'number' || !(rating >= 0 && rating <= 1)) {
