Share the turns for small chunks among addresses

What callers saw: beside a server with hundreds of answers in small chunks, an answer of another server waited behind all of their connections, longer than the time after which its server counts as silent (1 s).

Cause: the pacer served waiting connections in the order of their arrival, so a server got as many turns as it had connections.

Ruled out: the allowance of each connection; an answer that exceeds its burst of 64 chunks needs turns however few the others are.

Change: the addresses take turns, and the connections of an address among themselves.

--- a/src/node/guarded-reads.ts
+++ b/src/node/guarded-reads.ts
@@ -7,11 +7,12 @@
 
 /**
 Bounds what the answers on a connection cost the HTTP client: bytes besides their bodies are limited, small chunks wait for their
-turn, and nothing is parsed after the connection was given up.
+turn, and nothing is parsed after the connection was given up. `address` is that of the peer; the socket caches its own record of it,
+whose absence tells a reset from an end.
 */
 export function guardReads(socket: Socket, pacer: ReadPacer, address: string): void {
 	const scanner = new AnswerScanner();
-	const turns = pacer.open(() => {
+	const turns = pacer.open(address, () => {
 		if (!socket.destroyed) {
 			socket.emit('readable');
 		}
@@ -64,8 +65,7 @@
 			if (end < bytes.length) {
 				unshift(bytes.subarray(end));
 				if (!scanner.hasEnded) {
-					// The address properties of the socket stay unread: it caches them, and their absence tells a reset from an end.
-					turns.wait(address);
+					turns.wait();
 				}
 			}
 
--- a/src/node/read-pacer.test.ts
+++ b/src/node/read-pacer.test.ts
@@ -4,6 +4,8 @@
 import {ReadPacer, type ReadTurns} from './read-pacer.js';
 
 const maxHeldMs = 50;
+/** Half of the shortest time after which a server counts as silent. */
+const maxSoundMs = 500;
 
 /** Clock of a processor that is busy with chunks; timers run on request. */
 class BusyClock implements Clock {
@@ -56,10 +58,10 @@
 			turns.take(chunks);
 			taken[i]! += chunks;
 			clock.work(chunks * chunkMs);
-			turns.wait('a');
+			turns.wait();
 		};
 
-		const turns: ReadTurns = pacer.open(read);
+		const turns: ReadTurns = pacer.open('a', read);
 		read();
 	}
 
@@ -81,3 +83,54 @@
 	// All connections get on.
 	expect(Math.min(...taken)).toBeGreaterThan(Math.max(...taken) / 2);
 });
+
+// Guards against a sound server whose answers wait behind all connections of a server that sends chunks without end.
+it('lets the answer of another server pass many connections of one', () => {
+	const clock = new BusyClock();
+	const pacer = new ReadPacer(clock);
+	openEndless(pacer, clock, 300, 0.004);
+	let left = 2000;
+	const read = () => {
+		const chunks = Math.min(left, turns.available);
+		turns.take(chunks);
+		left -= chunks;
+		if (left > 0) {
+			turns.wait();
+		}
+	};
+
+	const turns: ReadTurns = pacer.open('b', read);
+	const endAt = clock.now() + maxSoundMs;
+	read();
+	while (clock.now() < endAt) {
+		clock.runTimer();
+	}
+
+	expect(left).toBe(0);
+});
+
+// Guards against a connection that closes while it waits and is kept, or keeps the others of its address from their turns.
+it('forgets a connection that closes while it waits', () => {
+	const clock = new BusyClock();
+	const pacer = new ReadPacer(clock);
+	openEndless(pacer, clock, 1, 0.004);
+	let resumed = 0;
+	const open = (address: string) => {
+		const turns = pacer.open(address, () => {
+			resumed++;
+		});
+		turns.wait();
+		return turns;
+	};
+
+	for (const turns of [open('a'), open('b'), open('b')]) {
+		turns.dispose();
+	}
+
+	open('b');
+	for (let i = 0; i < 20; i++) {
+		clock.runTimer();
+	}
+
+	expect(resumed).toBe(1);
+});
--- a/src/node/read-pacer.ts
+++ b/src/node/read-pacer.ts
@@ -18,7 +18,8 @@
 /** Shares the processor time for answers in small chunks among connections. Each chunk costs the parser about as long as a kilobyte does. */
 export class ReadPacer implements Disposable {
 	private readonly _shared: TokenBucket;
-	private readonly _waiting = new Set<ReadTurns>();
+	/** Waiting connections by the address of their peer, so that one with many connections gets no more turns than others. */
+	private readonly _waiting = new Map<string, Set<ReadTurns>>();
 	private _timer: Disposable | undefined;
 	private readonly _onSlowed = new Emitter<string>();
 
@@ -31,21 +32,30 @@
 		return this._onSlowed.event;
 	}
 
-	/** Begins to count the chunks of a connection. `resume` is called when it may read again after `wait`. */
-	open(resume: () => void): ReadTurns {
+	/** Begins to count the chunks of a connection to an address. `resume` is called when it may read again after `wait`. */
+	open(address: string, resume: () => void): ReadTurns {
 		return new ReadTurns(this._clock, {
 			available: () => this._waiting.size === 0 ? Math.min(turnChunks, this._shared.available(this._clock.now())) : 0,
 			take: chunks => {
 				this._shared.take(chunks, this._clock.now());
 			},
 			wait: turns => {
-				this._waiting.add(turns);
+				const queue = this._waiting.get(address);
+				if (queue) {
+					queue.add(turns);
+				} else {
+					this._waiting.set(address, new Set([turns]));
+				}
+
 				this._schedule();
 			},
 			leave: turns => {
-				this._waiting.delete(turns);
+				const queue = this._waiting.get(address);
+				if (queue?.delete(turns) && queue.size === 0) {
+					this._waiting.delete(address);
+				}
 			},
-			report: address => {
+			report: () => {
 				this._onSlowed.fire(address);
 			},
 		}, resume);
@@ -66,15 +76,21 @@
 		const startedAt = this._clock.now();
 		let elapsedMs = 0;
 		try {
-			// A connection that has more chunks waits again, behind the others.
-			for (const turns of this._waiting) {
+			// An address with more connections, and a connection with more chunks, waits again, behind the others.
+			for (const [address, queue] of this._waiting) {
 				const shared = this._shared.available(startedAt + elapsedMs);
 				if (shared < 1 || elapsedMs >= maxResumeMs) {
 					break;
 				}
 
-				this._waiting.delete(turns);
-				turns.resume(Math.min(turnChunks, shared));
+				const [turns] = queue;
+				queue.delete(turns!);
+				this._waiting.delete(address);
+				if (queue.size > 0) {
+					this._waiting.set(address, queue);
+				}
+
+				turns!.resume(Math.min(turnChunks, shared));
 				elapsedMs = this._clock.now() - startedAt;
 			}
 		} finally {
@@ -93,7 +109,7 @@
 	take(chunks: number): void;
 	wait(turns: ReadTurns): void;
 	leave(turns: ReadTurns): void;
-	report(address: string): void;
+	report(): void;
 }
 
 /** The chunks of one connection. */
@@ -126,13 +142,13 @@
 		this._granted = Math.max(0, this._granted - (chunks - own));
 	}
 
-	/** Waits until the connection may take more chunks of the peer. */
-	wait(address: string): void {
+	/** Waits until the connection may take more chunks. */
+	wait(): void {
 		this._isWaiting = true;
 		this._shared.wait(this);
 		if (!this._isSlowed) {
 			this._isSlowed = true;
-			this._shared.report(address);
+			this._shared.report();
 		}
 	}
 
