Accept chunk extensions that are smaller than their chunks

What callers saw: a long answer whose chunks each have an extension, such as a signature, failed with ANSWER_OVERHEAD after some hundreds of chunks.

Cause: the bytes of all extensions of an answer were summed up to one limit, whatever the size of its body.

Ruled out: extensions without an end; these still exceed the limit within one chunk header.

Change: the bytes of a chunk are set off against those of the extensions.

Evidence: answer-scanner.test.ts, 2000 chunks of 200 bytes with an extension of 81 bytes: given up before, accepted after the change; extensions of 1 KB on chunks of one byte are given up before and after.

--- a/src/node/answer-scanner.test.ts
+++ b/src/node/answer-scanner.test.ts
@@ -32,6 +32,23 @@
 	expect(scanner.follow(Buffer.from(head + chunks), 3)).toEqual({bytes: head.length + (3 * '1\r\nx\r\n'.length), chunks: 3});
 });
 
+// Guards against a long sound answer that is given up because each of its chunks has an extension, such as a signature.
+it('accepts extensions that are smaller than their chunks, however many', () => {
+	const scanner = new AnswerScanner();
+	scanner.begin('GET');
+	const data = 'x'.repeat(200);
+	const bytes = Buffer.from(validAnswer[0] + `${data.length.toString(16)};chunk-signature=${'a'.repeat(64)}\r\n${data}\r\n`.repeat(2000));
+	expect(scanner.follow(bytes, Infinity).bytes).toBe(bytes.length);
+});
+
+// Guards against chunks of one byte that carry large extensions without an end.
+it('gives up extensions that are larger than their chunks', () => {
+	const scanner = new AnswerScanner();
+	scanner.begin('GET');
+	const chunk = `1;a=${'b'.repeat(1000)}\r\nx\r\n`;
+	expect(() => scanner.follow(Buffer.from(validAnswer[0] + chunk.repeat(40)), Infinity)).toThrow(AnswerOverheadError);
+});
+
 const filler = 'x'.repeat(40_000);
 /** Answers with a method, in the order of one connection. Their framing decides where the next one begins. */
 const wholeAnswers = {
--- a/src/node/answer-scanner.ts
+++ b/src/node/answer-scanner.ts
@@ -1,4 +1,4 @@
-/** Bytes of an answer besides its body that are accepted: its heads, its trailers, and what its chunk headers have beyond a size. */
+/** Bytes of an answer besides its body that are accepted: its heads and trailers, and what its chunk headers exceed their chunks by. */
 const maxOverheadBytes = 32 * 1024;
 /** Lines of all heads and trailers of an answer. */
 const maxLines = 1000;
@@ -36,7 +36,10 @@
 export class AnswerScanner {
 	private _state: FramingState = framingState.head;
 	private _hasBody = true;
+	/** Bytes of all heads and trailers. */
 	private _overheadBytes = 0;
+	/** Bytes that the chunk headers have beyond a size, less those of the chunks. */
+	private _extensionBytes = 0;
 	private _lines = 0;
 	private _line = '';
 	private _lineBytes = 0;
@@ -57,6 +60,7 @@
 	begin(method: string): void {
 		this._hasBody = method !== 'HEAD';
 		this._overheadBytes = 0;
+		this._extensionBytes = 0;
 		this._lines = 0;
 		this._beginHead();
 	}
@@ -130,7 +134,7 @@
 	private _readLine(bytes: Uint8Array, start: number, end: number): void {
 		const length = end - start;
 		if (this._state === framingState.chunkHeader) {
-			this._overheadBytes += Math.max(0, this._lineBytes + length - plainChunkHeaderBytes) - Math.max(0, this._lineBytes - plainChunkHeaderBytes);
+			this._extensionBytes += Math.max(0, this._lineBytes + length - plainChunkHeaderBytes) - Math.max(0, this._lineBytes - plainChunkHeaderBytes);
 			this._readChunkSize(bytes, start, end);
 		} else {
 			this._overheadBytes += length;
@@ -141,7 +145,7 @@
 		}
 
 		this._lineBytes += length;
-		if (this._overheadBytes > maxOverheadBytes) {
+		if (this._overheadBytes + this._extensionBytes > maxOverheadBytes) {
 			throw new AnswerOverheadError(`more than ${maxOverheadBytes} bytes besides the body, in the ${this._state}`);
 		}
 	}
@@ -162,6 +166,7 @@
 			if (this._remaining === 0) {
 				this._state = framingState.trailers;
 			} else {
+				this._extensionBytes = Math.max(0, this._extensionBytes - this._remaining);
 				// The line end after the data belongs to the chunk.
 				this._remaining += 2;
 				this._state = framingState.chunkData;
