--- a/src/node/answer-scanner.ts
+++ b/src/node/answer-scanner.ts
@@ -1,4 +1,4 @@
-/** Bytes of an answer besides its body that are accepted: its heads, its trailers, and what its chunk headers have beyond a size. */
+/** Bytes of an answer besides its body that are accepted: its heads and trailers, and what its chunk headers exceed their chunks by. */
 const maxOverheadBytes = 32 * 1024;
 /** Lines of all heads and trailers of an answer. */
 const maxLines = 1000;
@@ -36,7 +36,10 @@
 export class AnswerScanner {
 	private _state: FramingState = framingState.head;
 	private _hasBody = true;
+	/** Bytes of all heads and trailers. */
 	private _overheadBytes = 0;
+	/** Bytes that the chunk headers have beyond a size, less those of the chunks. */
+	private _extensionBytes = 0;
 	private _lines = 0;
 	private _line = '';
 	private _lineBytes = 0;
@@ -46,24 +49,33 @@
 	/** Bytes until the end of the body or of the chunk. */
 	private _remaining = 0;
 	private _hasChunkSize = false;
+	private _hasEnded = false;
+
+	/** Whether the last bytes that were followed complete an answer. */
+	get hasEnded(): boolean {
+		return this._hasEnded;
+	}
 
 	/** Expects the answer to a request that begins now. */
 	begin(method: string): void {
 		this._hasBody = method !== 'HEAD';
 		this._overheadBytes = 0;
+		this._extensionBytes = 0;
 		this._lines = 0;
 		this._beginHead();
 	}
 
 	/**
-	Follows bytes as far as the beginning of the chunk after `maxChunks`.
+	Follows bytes as far as the end of an answer, or the beginning of the chunk after `maxChunks`. What follows an answer must not
+	keep the parser from it.
 	@returns the number of bytes that were followed, and of chunks that began in them.
 	@throws AnswerOverheadError
 	*/
 	follow(bytes: Uint8Array, maxChunks: number): {readonly bytes: number; readonly chunks: number} {
 		let at = 0;
 		let chunks = 0;
-		while (at < bytes.length) {
+		this._hasEnded = false;
+		while (at < bytes.length && !this._hasEnded) {
 			if (this._state === framingState.bodyToClose) {
 				return {bytes: bytes.length, chunks};
 			}
@@ -99,6 +111,11 @@
 		return {bytes: at, chunks};
 	}
 
+	private _endAnswer(): void {
+		this._hasEnded = true;
+		this._beginHead();
+	}
+
 	private _beginHead(): void {
 		this._state = framingState.head;
 		this._status = undefined;
@@ -117,7 +134,7 @@
 	private _readLine(bytes: Uint8Array, start: number, end: number): void {
 		const length = end - start;
 		if (this._state === framingState.chunkHeader) {
-			this._overheadBytes += Math.max(0, this._lineBytes + length - plainChunkHeaderBytes) - Math.max(0, this._lineBytes - plainChunkHeaderBytes);
+			this._extensionBytes += Math.max(0, this._lineBytes + length - plainChunkHeaderBytes) - Math.max(0, this._lineBytes - plainChunkHeaderBytes);
 			this._readChunkSize(bytes, start, end);
 		} else {
 			this._overheadBytes += length;
@@ -128,7 +145,7 @@
 		}
 
 		this._lineBytes += length;
-		if (this._overheadBytes > maxOverheadBytes) {
+		if (this._overheadBytes + this._extensionBytes > maxOverheadBytes) {
 			throw new AnswerOverheadError(`more than ${maxOverheadBytes} bytes besides the body, in the ${this._state}`);
 		}
 	}
@@ -149,6 +166,7 @@
 			if (this._remaining === 0) {
 				this._state = framingState.trailers;
 			} else {
+				this._extensionBytes = Math.max(0, this._extensionBytes - this._remaining);
 				// The line end after the data belongs to the chunk.
 				this._remaining += 2;
 				this._state = framingState.chunkData;
@@ -166,7 +184,7 @@
 		this._beginLine();
 		if (this._state === framingState.trailers) {
 			if (line === '') {
-				this._beginHead();
+				this._endAnswer();
 			}
 		} else if (line === '') {
 			// The parser ignores blank lines before an answer.
@@ -191,8 +209,10 @@
 	}
 
 	private _endHead(): void {
-		if (this._status! < firstFinalStatus || !this._hasBody || noBodyStatuses.has(this._status!)) {
+		if (this._status! < firstFinalStatus) {
 			this._beginHead();
+		} else if (!this._hasBody || noBodyStatuses.has(this._status!)) {
+			this._endAnswer();
 		} else if (this._isChunked) {
 			this._state = framingState.chunkHeader;
 			this._remaining = 0;
@@ -202,7 +222,7 @@
 			this._state = framingState.sizedBody;
 			this._remaining = this._length;
 			if (!(this._length > 0)) {
-				this._beginHead();
+				this._endAnswer();
 			}
 		}
 	}
@@ -211,7 +231,7 @@
 		if (this._state === framingState.chunkData) {
 			this._state = framingState.chunkHeader;
 		} else {
-			this._beginHead();
+			this._endAnswer();
 		}
 	}
 }
--- a/src/node/guarded-reads.ts
+++ b/src/node/guarded-reads.ts
@@ -3,15 +3,16 @@
 import {AnswerScanner} from './answer-scanner.js';
 import {type ReadPacer} from './read-pacer.js';
 
-const requestLine = /^(?<method>[A-Z]+) \S+ HTTP\/1\.1\r\n/v;
+const requestLine = /^(?<method>\S+) \S+ HTTP\/1\.1\r\n/v;
 
 /**
 Bounds what the answers on a connection cost the HTTP client: bytes besides their bodies are limited, small chunks wait for their
-turn, and nothing is parsed after the connection was given up.
+turn, and nothing is parsed after the connection was given up. `address` is that of the peer; the socket caches its own record of it,
+whose absence tells a reset from an end.
 */
-export function guardReads(socket: Socket, pacer: ReadPacer): void {
+export function guardReads(socket: Socket, pacer: ReadPacer, address: string): void {
 	const scanner = new AnswerScanner();
-	const turns = pacer.open(() => {
+	const turns = pacer.open(address, () => {
 		if (!socket.destroyed) {
 			socket.emit('readable');
 		}
@@ -63,7 +64,9 @@
 			const end = known + followed.bytes;
 			if (end < bytes.length) {
 				unshift(bytes.subarray(end));
-				turns.wait(`${socket.remoteAddress}:${socket.remotePort}`);
+				if (!scanner.hasEnded) {
+					turns.wait();
+				}
 			}
 
 			return end === 0 ? null : bytes.subarray(0, end);
--- a/src/node/read-pacer.ts
+++ b/src/node/read-pacer.ts
@@ -14,11 +14,14 @@
 const turnChunks = 256;
 /** Time in milliseconds that leaves the event loop to others between two turns. */
 const minWaitMs = 1;
+/** Time in milliseconds after which no further connection gets a turn before the event loop has served others. */
+const maxResumeMs = 5;
 
 /** Shares the processor time for answers in small chunks among connections. Each chunk costs the parser about as long as a kilobyte does. */
 export class ReadPacer implements Disposable {
 	private readonly _shared: TokenBucket;
-	private readonly _waiting = new Set<ReadTurns>();
+	/** Waiting connections by the address of their peer, so that one with many connections gets no more turns than others. */
+	private readonly _waiting = new Map<string, Set<ReadTurns>>();
 	private _timer: Disposable | undefined;
 	private readonly _onSlowed = new Emitter<string>();
 
@@ -31,21 +34,30 @@
 		return this._onSlowed.event;
 	}
 
-	/** Begins to count the chunks of a connection. `resume` is called when it may read again after `wait`. */
-	open(resume: () => void): ReadTurns {
+	/** Begins to count the chunks of a connection to an address. `resume` is called when it may read again after `wait`. */
+	open(address: string, resume: () => void): ReadTurns {
 		return new ReadTurns(this._clock, {
 			available: () => this._waiting.size === 0 ? Math.min(turnChunks, this._shared.available(this._clock.now())) : 0,
 			take: chunks => {
 				this._shared.take(chunks, this._clock.now());
 			},
 			wait: turns => {
-				this._waiting.add(turns);
+				const queue = this._waiting.get(address);
+				if (queue) {
+					queue.add(turns);
+				} else {
+					this._waiting.set(address, new Set([turns]));
+				}
+
 				this._schedule();
 			},
 			leave: turns => {
-				this._waiting.delete(turns);
+				const queue = this._waiting.get(address);
+				if (queue?.delete(turns) && queue.size === 0) {
+					this._waiting.delete(address);
+				}
 			},
-			report: address => {
+			report: () => {
 				this._onSlowed.fire(address);
 			},
 		}, resume);
@@ -56,28 +68,39 @@
 		this._waiting.clear();
 	}
 
-	private _schedule(): void {
-		this._timer ??= this._clock.setTimer(Math.max(minWaitMs, this._shared.waitMs(turnChunks, this._clock.now())), () => {
-			this._timer = undefined;
+	private _schedule(minDelayMs = minWaitMs): void {
+		this._timer ??= this._clock.setTimer(Math.max(minDelayMs, this._shared.waitMs(turnChunks, this._clock.now())), () => {
 			this._resumeWaiting();
 		});
 	}
 
 	private _resumeWaiting(): void {
-		// A connection that has more chunks waits again, behind the others and for the next time.
-		const waiting = [...this._waiting];
-		for (const turns of waiting) {
-			const shared = this._shared.available(this._clock.now());
-			if (shared < 1) {
-				break;
+		const startedAt = this._clock.now();
+		let elapsedMs = 0;
+		try {
+			// An address with more connections, and a connection with more chunks, waits again, behind the others.
+			for (const [address, queue] of this._waiting) {
+				const shared = this._shared.available(startedAt + elapsedMs);
+				if (shared < 1 || elapsedMs >= maxResumeMs) {
+					break;
+				}
+
+				const [turns] = queue;
+				queue.delete(turns!);
+				this._waiting.delete(address);
+				if (queue.size > 0) {
+					this._waiting.set(address, queue);
+				}
+
+				turns!.resume(Math.min(turnChunks, shared));
+				elapsedMs = this._clock.now() - startedAt;
+			}
+		} finally {
+			this._timer = undefined;
+			if (this._waiting.size > 0) {
+				// The bucket fills up again while chunks are processed, so it alone does not bound their share of the time.
+				this._schedule(Math.max(minWaitMs, elapsedMs));
 			}
-
-			this._waiting.delete(turns);
-			turns.resume(Math.min(turnChunks, shared));
-		}
-
-		if (this._waiting.size > 0) {
-			this._schedule();
 		}
 	}
 }
@@ -88,7 +111,7 @@
 	take(chunks: number): void;
 	wait(turns: ReadTurns): void;
 	leave(turns: ReadTurns): void;
-	report(address: string): void;
+	report(): void;
 }
 
 /** The chunks of one connection. */
@@ -121,13 +144,13 @@
 		this._granted = Math.max(0, this._granted - (chunks - own));
 	}
 
-	/** Waits until the connection may take more chunks of the peer. */
-	wait(address: string): void {
+	/** Waits until the connection may take more chunks. */
+	wait(): void {
 		this._isWaiting = true;
 		this._shared.wait(this);
 		if (!this._isSlowed) {
 			this._isSlowed = true;
-			this._shared.report(address);
+			this._shared.report();
 		}
 	}
 
