Give each address one turn before the event loop serves others

A connection that waits again within its turn was visited again in the same turn, without end if it took no chunk.

--- a/src/node/read-pacer.ts
+++ b/src/node/read-pacer.ts
@@ -78,21 +78,27 @@
 		const startedAt = this._clock.now();
 		let elapsedMs = 0;
 		try {
-			// An address with more connections, and a connection with more chunks, waits again, behind the others.
-			for (const [address, queue] of this._waiting) {
+			// An address with more connections, and a connection with more chunks, waits again, behind the others and for the next time.
+			const waiting = [...this._waiting];
+			for (const [address, queue] of waiting) {
 				const shared = this._shared.available(startedAt + elapsedMs);
 				if (shared < 1 || elapsedMs >= maxResumeMs) {
 					break;
 				}
 
 				const [turns] = queue;
-				queue.delete(turns!);
+				if (!turns) {
+					// The last connection of the address has closed meanwhile.
+					continue;
+				}
+
+				queue.delete(turns);
 				this._waiting.delete(address);
 				if (queue.size > 0) {
 					this._waiting.set(address, queue);
 				}
 
-				turns!.resume(Math.min(turnChunks, shared));
+				turns.resume(Math.min(turnChunks, shared));
 				elapsedMs = this._clock.now() - startedAt;
 			}
 		} finally {
