Serve on when a server announces an address that cannot exist

What callers saw: an entry host that had served ended by itself with exit status 1, and with it all streams of all its callers, at the first request for a service with such a server, for instance 10.0.0.1:70000.

Cause: the heartbeat was accepted by the shape of its digits alone. The connection pool of the HTTP client rejects the address with an exception ("Invalid URL"), which left HttpBackendPort.send in the `end` event of a request: an uncaught error. The address stays in the directory, so each entry host ends at its first such request, also after a restart. TcpAddressCheck rejects for a port above 65535; nothing handles that.

Ruled out: the HTTP client's own parser and timers; the stack names the constructor of the pool.

An attempt at an address without a pool fails as not sent. TcpAddressCheck reports such an address as neither open nor closed.

--- a/src/node/http-backend-port.test.ts
+++ b/src/node/http-backend-port.test.ts
@@ -205,3 +205,8 @@
 	expect(await answer).toEqual(['head 200', 'data 3', 'data 3', 'end']);
 	await expect.poll(() => closed).toEqual(['closed']);
 });
+
+// Guards against a process that ends because a server has an address to which no connection can be opened.
+it.each(['10.0.0.1:70000', '256.0.0.1:80', 'a b:80', ''])('reports an attempt at the address "%s" as not sent', async address => {
+	expect(await send(address)).toEqual(['unsent']);
+});
--- a/src/node/http-backend-port.ts
+++ b/src/node/http-backend-port.ts
@@ -27,6 +27,12 @@
 	readonly attempts: Set<HttpAttempt>;
 };
 
+/** Handle of an attempt that has failed before it was passed to the HTTP client. */
+const unsentAttempt: AttemptHandle = {
+	abort: () => undefined,
+	resume: () => undefined,
+};
+
 /** Sends attempts over persistent HTTP connections, with one pool per address. */
 export class HttpBackendPort implements BackendPort, Disposable {
 	private readonly _targets = new Map<string, Target>();
@@ -40,8 +46,18 @@
 	}
 
 	send(message: ForwardMessage, terms: AttemptTerms, events: AttemptEvents): AttemptHandle {
+		let target: Target;
+		try {
+			target = this._target(terms);
+		} catch (error) {
+			// The address may come from another release of this program, which checks less.
+			this._logger.warn({server: terms.serverId, address: terms.address, err: error}, 'server has no valid address');
+			events.onFailure({isUnsent: true, reason: 'invalid-address'});
+			return unsentAttempt;
+		}
+
 		const attempt = new HttpAttempt({
-			codec: this._codec, clock: this._clock, target: this._target(terms), message, terms, events,
+			codec: this._codec, clock: this._clock, target, message, terms, events,
 		});
 		attempt.dispatch();
 		return attempt;
--- a/src/node/tcp-address-check.test.ts
+++ b/src/node/tcp-address-check.test.ts
@@ -16,3 +16,10 @@
 	expect(await check.refusesConnections(address)).toBe(true);
 	expect(await check.acceptsConnections(address)).toBe(false);
 });
+
+// Guards against a check that rejects, which ends the process: it is made outside of any request.
+it.each(['10.0.0.1:70000', '10.0.0.1:0', '256.0.0.1:80', '10.0.0.1', ''])('neither rejects nor takes the address "%s" for a closed one', async address => {
+	const check = new TcpAddressCheck(200);
+	expect(await check.refusesConnections(address)).toBe(false);
+	expect(await check.acceptsConnections(address)).toBe(false);
+});
--- a/src/node/tcp-address-check.ts
+++ b/src/node/tcp-address-check.ts
@@ -3,6 +3,7 @@
 
 /** Connect timeout in milliseconds. A server in the same city answers within a few milliseconds. */
 const defaultTimeoutMs = 600;
+const maxPort = 65_535;
 
 /** Checks an address by opening one TCP connection, on which nothing is sent. */
 export class TcpAddressCheck implements AddressCheck, ConnectionCheck {
@@ -19,8 +20,14 @@
 	/** Resolves to the code of the error, or undefined when a connection was accepted. */
 	private async _connect(address: string): Promise<string | undefined> {
 		const at = address.lastIndexOf(':');
+		const host = address.slice(0, at).replaceAll(/[\[\]]/gv, '');
+		const port = Number(address.slice(at + 1));
+		if (!(port > 0 && port <= maxPort)) {
+			return 'ERR_INVALID_PORT';
+		}
+
 		return new Promise(resolve => {
-			const socket = connect({host: address.slice(0, at).replaceAll(/[\[\]]/gv, ''), port: Number(address.slice(at + 1)), timeout: this._timeoutMs});
+			const socket = connect({host, port, timeout: this._timeoutMs});
 			const finish = (code: string | undefined) => {
 				socket.destroy();
 				resolve(code);
