--- a/src/common/host/forward-host.ts
+++ b/src/common/host/forward-host.ts
@@ -87,6 +87,7 @@
 	private readonly _onPeers = this._store.add(new Emitter<ReadonlySet<string>>());
 	private _table: RouteTable | undefined;
 	private _routingRevision = -1;
+	private _appliedAt = -Infinity;
 	private _hostIndex = 0;
 
 	constructor(private readonly _options: ForwardHostOptions) {
@@ -162,6 +163,11 @@
 		return this._table !== undefined && this.follower.lease.isValid();
 	}
 
+	/** Version of the applied routing configuration and the time in milliseconds since it was applied; undefined before the first one. */
+	get configuration(): {readonly version: number; readonly ageMs: number} | undefined {
+		return this._table && {version: this._table.cfg.version, ageMs: Math.round(this._options.clock.now() - this._appliedAt)};
+	}
+
 	/** Raised with each new routing configuration. */
 	get onRouting(): Event<RoutingConfig> {
 		return this._onRouting.event;
@@ -217,6 +223,7 @@
 			this._routingRevision = routing.revision;
 			try {
 				this._table = new RouteTable(parseRouting(routing.source));
+				this._appliedAt = this._options.clock.now();
 			} catch (error) {
 				// Another release of this program accepted a configuration that this one cannot read. Requests must not be served under the previous one.
 				this._table = undefined;
--- a/src/daemon/caller-drain.test.ts
+++ b/src/daemon/caller-drain.test.ts
@@ -8,7 +8,7 @@
 
 // Guards against requests that a graceful shutdown interrupts, connections refused to callers with a cached list of entry
 // hosts, and a process that waits too long and is killed.
-it.each([
+it.each<{name: string; busyUntil: number; isLeaderUp: boolean; isDamaged?: boolean; endsBy: number}>([
 	{
 		name: 'nothing runs', busyUntil: 0, isLeaderUp: true, endsBy: listLifetimeMs + 100,
 	},
@@ -21,9 +21,13 @@
 	{
 		name: 'no leader answers', busyUntil: 0, isLeaderUp: false, endsBy: listLifetimeMs + 100,
 	},
-])('ends in time when $name', async ({busyUntil, isLeaderUp, endsBy}) => {
+	{
+		name: 'its state is damaged', busyUntil: 5000, isLeaderUp: true, isDamaged: true, endsBy: 5100,
+	},
+])('ends in time when $name', async ({busyUntil, isLeaderUp, isDamaged, endsBy}) => {
 	const clock = new ManualClock();
 	const start = clock.now();
+	let refusesAt: number | undefined;
 	let closedAt: number | undefined;
 	let endedAt: number | undefined;
 	let stoppedAt: number | undefined;
@@ -45,6 +49,9 @@
 			return clock.now() - start < busyUntil ? 1 : 0;
 		},
 		drain: () => undefined,
+		refuseNew() {
+			refusesAt = clock.now() - start;
+		},
 		stop() {
 			stoppedAt = clock.now() - start;
 		},
@@ -54,12 +61,13 @@
 	};
 	void (async () => {
 		await drainCallers({
-			follower, callers, clock, logger: nullLogger, listLifetimeMs, graceMs,
+			follower, callers, clock, logger: nullLogger, listLifetimeMs, graceMs, isDamaged,
 		});
 		endedAt = clock.now() - start;
 	})();
 
 	await clock.advance(graceMs);
+	expect(refusesAt).toBe(isDamaged ? 0 : undefined);
 	expect(closedAt).toBeGreaterThanOrEqual(listLifetimeMs - 200);
 	expect(closedAt).toBeLessThanOrEqual(listLifetimeMs);
 	expect(stoppedAt).toBe(endedAt);
--- a/src/daemon/caller-drain.ts
+++ b/src/daemon/caller-drain.ts
@@ -7,13 +7,15 @@
 /** Options of `drainCallers`. */
 export interface CallerDrainOptions {
 	readonly follower: Pick<ControlFollower, 'entry' | 'setLeaving' | 'propose'>;
-	readonly callers: Pick<CallerServer, 'active' | 'drain' | 'close' | 'stop'>;
+	readonly callers: Pick<CallerServer, 'active' | 'drain' | 'refuseNew' | 'close' | 'stop'>;
 	readonly clock: Clock;
 	readonly logger: Logger;
 	/** Longest time in milliseconds for which a caller may cache the list of entry hosts. */
 	readonly listLifetimeMs: number;
 	/** Time in milliseconds from the stop request until the process is killed. */
 	readonly graceMs: number;
+	/** Whether new requests are refused at once, because the state of the host may be damaged. */
+	readonly isDamaged?: boolean;
 }
 
 /** Time in milliseconds between the end of draining and the end of the grace period. */
@@ -28,11 +30,15 @@
 cached lists have expired, and then waits for active requests. Resolves when the process may exit, which may be before
 the last request has ended.
 */
-export async function drainCallers({follower, callers, clock, logger, listLifetimeMs, graceMs}: CallerDrainOptions): Promise<void> {
+export async function drainCallers({follower, callers, clock, logger, listLifetimeMs, graceMs, isDamaged = false}: CallerDrainOptions): Promise<void> {
 	const closeAt = clock.now() + listLifetimeMs - (2 * pollMs);
 	const stopAt = clock.now() + graceMs - stopMarginMs;
 	logger.info({active: callers.active}, 'stop requested');
 	callers.drain();
+	if (isDamaged) {
+		callers.refuseNew();
+	}
+
 	follower.setLeaving();
 	const {host, incarnation} = follower.entry;
 	try {
--- a/src/daemon/caller-server.ts
+++ b/src/daemon/caller-server.ts
@@ -128,9 +128,14 @@
 		this._connections.drain();
 	}
 
+	/** Refuses new requests as not run. */
+	refuseNew(): void {
+		this._isClosed = true;
+	}
+
 	/** Accepts no new connections, closes idle ones, and refuses new requests on the remaining ones. */
 	close(): void {
-		this._isClosed = true;
+		this.refuseNew();
 		this._connections.close();
 	}
 
