Report the end of a connection only after a paused answer goes on

What callers saw: an entry host that had served ended by itself with exit status 1, and all streams of all its callers broke at one moment. It takes one caller that reads slowly and a server that closes its connection after an answer, for instance one that stops around a configuration. With other answers, a complete one was reported as broken.

Cause: while the caller does not keep up, the answer is paused. Node.js reads 0 bytes itself when the end of the connection arrives, which reports the end at once if all bytes were taken before. The HTTP client then fails "assert(!this.paused)" in Parser.finish, in an event of the socket outside of any request; for an answer that does not close its connection it fails the request as "other side closed". makeStrict held the end back only when it arrived together with bytes.

Ruled out: settings, signals, a log that is closed or not read and missing descriptors, see disturbed-process.test.ts; bytes that are no answer.

Change: the 0-byte read after the end does nothing. The client reads when the answer goes on, finds no bytes, and only then learns of the end.

Evidence: strict-socket.test.ts, end of the connection during a pause: 6 of 6 cases fail before, 0 after.

--- a/src/node/strict-socket.ts
+++ b/src/node/strict-socket.ts
@@ -42,9 +42,17 @@
 		return emit(event, ...args);
 	};
 
+	let hasEnded = false;
+	const push = socket.push.bind(socket) as (...args: unknown[]) => boolean;
+	socket.push = (...args: unknown[]) => {
+		hasEnded ||= args[0] === null;
+		return push(...args);
+	};
+
 	const read = socket.read.bind(socket) as (size?: number) => unknown;
 	// A read without a size that takes the last byte also ends the stream. Without bytes, only one without a size asks for more.
-	socket.read = (size = Math.min(socket.readableLength, maxReadBytes) || undefined) => read(size);
+	// Node.js itself reads 0 bytes when the end of the connection arrives, which would report it at once if all bytes were taken.
+	socket.read = (size = Math.min(socket.readableLength, maxReadBytes) || undefined) => size === 0 && hasEnded ? null : read(size);
 }
 
 function isReset(error: Error | undefined): error is Error {
