Wait for events in the test of a connection that ends during a pause

One case failed once of 4 runs beside a load of about 20: it waited 50 ms for the outcome after the answer went on. The expectations are unchanged.

--- a/src/node/strict-socket.test.ts
+++ b/src/node/strict-socket.test.ts
@@ -101,6 +101,7 @@
 	});
 	port = new HttpBackendPort({encodeHeaders: () => [], decodeHead: status => answerHead({status})}, nullLogger);
 	const seen: string[] = [];
+	let isClosed = false;
 	const handle = port.send({
 		method: 'GET', target: '/', headers: [], body: undefined,
 	}, {address: `127.0.0.1:${(server.address() as AddressInfo).port}`, maxConnections: 1} as Parameters<HttpBackendPort['send']>[1], {
@@ -110,7 +111,9 @@
 			seen.push(`data ${chunk.length}`);
 			// The end of the connection arrives alone, when all bytes have been read.
 			setTimeout(() => {
-				socket!.end();
+				socket!.end(() => {
+					isClosed = true;
+				});
 			}, 30);
 			return false;
 		},
@@ -121,9 +124,10 @@
 			seen.push('failure');
 		},
 	});
-	await delay(150);
+	await expect.poll(() => isClosed).toBe(true);
+	await delay(100);
 	expect({seen, errors}).toEqual({seen: ['data 3'], errors: []});
 	handle.resume();
-	await delay(50);
+	await expect.poll(() => seen.length).toBe(2);
 	expect({seen, errors}).toEqual({seen: ['data 3', outcome], errors: []});
 });
