Count what the head of a request holds besides its text

What callers saw: an entry host ended by V8's heap limit (SIGABRT) with the requests of all its callers, while requests with long lists of prompt parts were open.

Cause: a request counted as 8 KiB whatever its head. Each part of a prompt and each header is an object of about 100 bytes that lives as long as the request: a head of 16 KB with 5,300 parts holds half a megabyte. Some 400 of them fill the heap of 200 MB, and count as 3 MB of the 52 MB that may be held.

Ruled out: bodies and answers (300 bodies of 2 MB: 209 MB at most; 300 unread answers of 4 MB: 131 MB), and the number of headers alone (1,500 requests with 950 headers: 246 MB). They are rows of the test.

Change: headers and parts are counted with the request. Beyond the limit, the connection for which most is held is reset, as for bodies.

Evidence: memory-limits.test.ts, real processes, 350 MB, heap of 200 MB. 1,500 requests with 5,300 parts: SIGABRT in each of two runs before, peak of 127 to 154 MB after. 1,500 requests with 950 headers: 246 MB before, 183 MB after.

--- a/src/daemon/caller-server.ts
+++ b/src/daemon/caller-server.ts
@@ -26,8 +26,11 @@
 const defaultBodyBytes = 4 * 1024 * 1024;
 /** Time in milliseconds for which an idle connection outlives the configured timeout, so that no request races with its close. */
 const idleMarginMs = 1000;
-/** Memory in bytes that a request takes besides its body, about. */
+/** Memory in bytes that a request takes besides its body and what follows, about. */
 const requestBytes = 8 * 1024;
+/** Memory in bytes that a header of a request and a part of its prompt take besides their text, about. */
+const headerMemoryBytes = 100;
+const promptPartBytes = 100;
 const headerEndBytes = 4;
 /** Retry time in seconds that a stopping host sends to callers, which then try another host. */
 const stoppingRetrySeconds = 0.05;
@@ -156,7 +159,8 @@
 	}
 
 	private _receive(req: IncomingMessage, res: ServerResponse, sink: HttpCallerSink, held: HeldPart): void {
-		held.set(requestBytes);
+		const headMemory = requestBytes + headBytes(req) + (req.rawHeaders.length / 2 * headerMemoryBytes);
+		held.set(headMemory);
 		if (this._isClosed) {
 			sink.refuse({
 				status: 503, code: 'stopping', ran: 'no', retryAfterSeconds: stoppingRetrySeconds,
@@ -166,7 +170,7 @@
 		}
 
 		const maxBytes = this._limits?.maxBodyBytes ?? defaultBodyBytes;
-		if (this._limits && headerBytes(req) > this._limits.maxHeaderBytes) {
+		if (this._limits && headBytes(req) > this._limits.maxHeaderBytes) {
 			this._refuse(req, sink, {status: 431, code: 'header-too-large', ran: 'no'});
 			req.resume();
 			return;
@@ -206,12 +210,22 @@
 			}
 
 			body.push(chunk);
-			held.set(requestBytes + size);
+			held.set(headMemory + size);
 		});
 		req.once('end', () => {
 			// The connection may have been given up since the head of the request.
 			if (!isRefused && !req.socket.destroyed) {
-				this._forward(req, sink, size === 0 ? undefined : body.take());
+				const decoded = this._decode(req, size === 0 ? undefined : body.take());
+				if ('status' in decoded) {
+					sink.refuse(decoded);
+					return;
+				}
+
+				held.set(headMemory + size + ((decoded.generation?.parts.length ?? 0) * promptPartBytes));
+				// This part may have been given up.
+				if (!req.socket.destroyed) {
+					this._forwarder.forward(decoded, sink);
+				}
 			}
 		});
 	}
@@ -227,19 +241,10 @@
 			method: req.method ?? 'GET', target: req.url ?? '/', headers: req.rawHeaders, body,
 		});
 	}
-
-	private _forward(req: IncomingMessage, sink: HttpCallerSink, body: Uint8Array | undefined): void {
-		const decoded = this._decode(req, body);
-		if ('status' in decoded) {
-			sink.refuse(decoded);
-		} else {
-			this._forwarder.forward(decoded, sink);
-		}
-	}
 }
 
 /** Size of a request head in bytes, without its method, its HTTP version and optional white space. */
-function headerBytes(req: IncomingMessage): number {
+function headBytes(req: IncomingMessage): number {
 	let bytes = headerEndBytes + (req.url?.length ?? 0);
 	for (const text of req.rawHeaders) {
 		bytes += text.length + 2;
