Count request heads that are not complete

What callers saw: an entry host took more memory than its limit of 350 MB, for which it is killed with the requests of all its callers, beside connections whose request heads were not complete.

Cause: the HTTP parser reads connections itself and keeps up to 64 KiB of each head until the request event, for up to the header timeout. HeldBytes counted a request from that event on.

Ruled out: heads of many short lines; the parser keeps 1,000 of them (2,500 heads of 9,000 lines: 230 MB at most).

Change: OpenHeads compares the bytes that were read from each connection with those of its complete requests, each 50 ms, and counts the rest twice, as the parser holds it. Beyond the limit, the connection with the largest head is reset; nothing of its request has run.

Not covered: the beginning of a next head in the read that completed a request, at most 64 KiB a connection.

--- a/src/daemon/caller-server.ts
+++ b/src/daemon/caller-server.ts
@@ -17,6 +17,7 @@
 import {HttpCallerSink} from './http-caller-sink.js';
 import {listen} from './listen.js';
 import {type ListenAddress} from './listen-address.js';
+import {OpenHeads} from './open-heads.js';
 import {PacedSocket} from './paced-socket.js';
 import {PiecePacer} from './piece-pacer.js';
 
@@ -54,6 +55,7 @@
 	private readonly _onRejected = new Emitter<Error>();
 	private readonly _onSlowed = new Emitter<SlowedCaller>();
 	private readonly _pacer = new PiecePacer(new SystemClock());
+	private readonly _heads = new OpenHeads(new SystemClock(), socket => this._hold(socket, socket.remoteAddress ?? ''));
 	private _limits: CallerLimits | undefined;
 	private _isClosed = false;
 	private readonly _open = new Set<HttpCallerSink>();
@@ -67,6 +69,10 @@
 			}
 
 			const {socket} = req;
+			this._heads.complete(socket);
+			req.once('close', () => {
+				this._heads.expect(socket);
+			});
 			const address = socket.remoteAddress ?? '';
 			const [body, answer] = [this._hold(socket, address), this._hold(socket, address)];
 			const sink = new HttpCallerSink(res, this._codec, unsent => {
@@ -81,6 +87,9 @@
 			this._receive(req, res, sink, body);
 		});
 		this._connections = new CallerConnections(this._server);
+		this._server.on('connection', (socket: Socket) => {
+			this._heads.add(socket);
+		});
 		this._server.on('clientError', (error: Error & {code?: string}, socket: Socket) => {
 			this._onRejected.fire(error);
 			this._connections.reject(socket, statusByErrorCode.get(error.code ?? '') ?? badRequest);
@@ -147,6 +156,7 @@
 
 	dispose(): void {
 		this._pacer.dispose();
+		this._heads.dispose();
 		this._server.close();
 		this._server.closeAllConnections();
 	}
