Count the heads of answers that a host is reading

What callers saw: an entry host ended by V8's heap limit (SIGABRT) with the requests of all its callers, beside a server whose answers did not end their heads.

Cause: the HTTP client keeps a buffer object of some 200 bytes for the name and one for the value of each header. 990 headers of 5 bytes are within the limits of the client and of AnswerScanner, but hold some 100 KB until the head is complete or the attempt times out. HeldBytes did not count them.

Ruled out: bodies of answers, which are counted (memory-limits.test.ts).

Change: AnswerScanner reports the memory for heads and trailers of the answer in progress; the port counts it for each connection, also to other entry hosts. Beyond the limit, the connection with the most is closed: its attempt fails as with a reset, so the request is repeated within the budget or gets a 502 with ran unknown, and the health of the server counts the failure.

--- a/src/node/answer-scanner.test.ts
+++ b/src/node/answer-scanner.test.ts
@@ -64,3 +64,24 @@
 		expect(() => scanner.follow(Buffer.from(`HTTP/1.1 200 ${filler}`), 1)).toThrow('in the head');
 	}), {numRuns: 300});
 });
+
+// Guards against heads and trailers that hold memory which nothing counts, and against answers that count after their end.
+it.each([
+	{name: 'an idle connection', answer: '', isHeld: false},
+	{name: 'a head that is not complete', answer: 'HTTP/1.1 200 OK\r\na:b\r\n', isHeld: true},
+	{name: 'an interim answer', answer: 'HTTP/1.1 103 Early Hints\r\n\r\n', isHeld: true},
+	{name: 'a body that is not complete', answer: 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nx', isHeld: true},
+	{name: 'trailers that are not complete', answer: 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\na:b\r\n', isHeld: true},
+	{name: 'a whole answer with a length', answer: 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nxx', isHeld: false},
+	{name: 'a whole answer without bytes', answer: 'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n', isHeld: false},
+	{name: 'a whole answer without a body', answer: 'HTTP/1.1 204 No Content\r\n\r\n', isHeld: false},
+	{name: 'a whole answer in chunks', answer: 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n', isHeld: false},
+])('counts the memory of $name: $isHeld', ({answer, isHeld}) => {
+	const scanner = new AnswerScanner();
+	if (answer !== '') {
+		scanner.begin('GET');
+	}
+
+	scanner.follow(new TextEncoder().encode(answer), Infinity);
+	expect(scanner.memory > 0).toBe(isHeld);
+});
--- a/src/node/answer-scanner.ts
+++ b/src/node/answer-scanner.ts
@@ -4,6 +4,8 @@
 const maxLines = 1000;
 /** Length of a chunk header that has a size and its line end only. */
 const plainChunkHeaderBytes = 18;
+/** Memory that the HTTP client takes for a line besides its bytes, about. */
+const lineMemoryBytes = 400;
 /** Bytes of a header line that are kept to read the framing of the body. */
 const keptLineBytes = 256;
 
@@ -46,9 +48,16 @@
 	/** Bytes until the end of the body or of the chunk. */
 	private _remaining = 0;
 	private _hasChunkSize = false;
+	private _isOver = true;
+
+	/** Memory in bytes that the HTTP client holds of the answer besides its body, about. */
+	get memory(): number {
+		return this._isOver ? 0 : this._overheadBytes + (this._lines * lineMemoryBytes);
+	}
 
 	/** Expects the answer to a request that begins now. */
 	begin(method: string): void {
+		this._isOver = false;
 		this._hasBody = method !== 'HEAD';
 		this._overheadBytes = 0;
 		this._lines = 0;
@@ -166,7 +175,7 @@
 		this._beginLine();
 		if (this._state === framingState.trailers) {
 			if (line === '') {
-				this._beginHead();
+				this._endAnswer();
 			}
 		} else if (line === '') {
 			// The parser ignores blank lines before an answer.
@@ -191,8 +200,10 @@
 	}
 
 	private _endHead(): void {
-		if (this._status! < firstFinalStatus || !this._hasBody || noBodyStatuses.has(this._status!)) {
+		if (this._status! < firstFinalStatus) {
 			this._beginHead();
+		} else if (!this._hasBody || noBodyStatuses.has(this._status!)) {
+			this._endAnswer();
 		} else if (this._isChunked) {
 			this._state = framingState.chunkHeader;
 			this._remaining = 0;
@@ -202,7 +213,7 @@
 			this._state = framingState.sizedBody;
 			this._remaining = this._length;
 			if (!(this._length > 0)) {
-				this._beginHead();
+				this._endAnswer();
 			}
 		}
 	}
@@ -211,9 +222,14 @@
 		if (this._state === framingState.chunkData) {
 			this._state = framingState.chunkHeader;
 		} else {
-			this._beginHead();
+			this._endAnswer();
 		}
 	}
+
+	private _endAnswer(): void {
+		this._isOver = true;
+		this._beginHead();
+	}
 }
 
 function hexDigit(byte: number): number | undefined {
--- a/src/node/guarded-reads.ts
+++ b/src/node/guarded-reads.ts
@@ -1,5 +1,6 @@
 import {type Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
+import {type HeldPart} from '../common/base/held-bytes.js';
 import {AnswerScanner} from './answer-scanner.js';
 import {type ReadPacer} from './read-pacer.js';
 
@@ -8,8 +9,10 @@
 /**
 Bounds what the answers on a connection cost the HTTP client: bytes besides their bodies are limited, small chunks wait for their
 turn, and nothing is parsed after the connection was given up.
+
+@param held counts the memory for heads and trailers.
 */
-export function guardReads(socket: Socket, pacer: ReadPacer): void {
+export function guardReads(socket: Socket, pacer: ReadPacer, held?: HeldPart): void {
 	const scanner = new AnswerScanner();
 	const turns = pacer.open(() => {
 		if (!socket.destroyed) {
@@ -18,6 +21,7 @@
 	});
 	socket.once('close', () => {
 		turns.dispose();
+		held?.dispose();
 	});
 
 	const write = socket.write.bind(socket) as (...args: unknown[]) => boolean;
@@ -60,6 +64,12 @@
 		try {
 			const followed = scanner.follow(bytes.subarray(known), turns.available);
 			turns.take(followed.chunks);
+			held?.set(scanner.memory);
+			if (socket.destroyed) {
+				// The part was given up.
+				return null;
+			}
+
 			const end = known + followed.bytes;
 			if (end < bytes.length) {
 				unshift(bytes.subarray(end));
--- a/src/node/http-backend-port.ts
+++ b/src/node/http-backend-port.ts
@@ -3,6 +3,7 @@
 import {type buildConnector, type Dispatcher, Pool} from 'undici';
 import {type Clock} from '../common/base/clock.js';
 import {type Disposable} from '../common/base/disposable.js';
+import {HeldBytes} from '../common/base/held-bytes.js';
 import {type Logger} from '../common/base/logger.js';
 import {
 	type AttemptEvents, type AttemptHandle, type BackendPort, withdrawnReason,
@@ -32,7 +33,8 @@
 	private readonly _targets = new Map<string, Target>();
 	private readonly _pacer: ReadPacer;
 
-	constructor(private readonly _codec: BackendCodec, private readonly _logger: Logger, private readonly _clock: Clock = new SystemClock()) {
+	/** `_held` limits the memory for heads of answers. */
+	constructor(private readonly _codec: BackendCodec, private readonly _logger: Logger, private readonly _clock: Clock = new SystemClock(), private readonly _held = new HeldBytes()) {
 		this._pacer = new ReadPacer(_clock);
 		this._pacer.onSlowed(address => {
 			_logger.info({address}, 'answer arrives in small chunks and is slowed down');
@@ -77,7 +79,7 @@
 			const pool = new Pool(`http://${address}`, {
 				connections: maxConnections,
 				pipelining: 1,
-				connect: closingConnector(this._pacer),
+				connect: closingConnector(this._pacer, this._held),
 				keepAliveTimeout: idleTimeoutMs,
 				allowH2: false,
 			});
@@ -107,8 +109,8 @@
 Creates a connector whose connections stay closed. The HTTP client opens a new one in place of one that it closed to abort a
 request, because it treats errors with its own code as if the request were still to be sent.
 */
-function closingConnector(pacer: ReadPacer): buildConnector.connector {
-	const connectWithin = timedConnector(connectTimeoutMs, pacer);
+function closingConnector(pacer: ReadPacer, held: HeldBytes): buildConnector.connector {
+	const connectWithin = timedConnector(connectTimeoutMs, pacer, held);
 	return (options, callback) => {
 		connectWithin(options, (...result) => {
 			const [, socket] = result;
