--- a/src/common/base/held-bytes.test.ts
+++ b/src/common/base/held-bytes.test.ts
@@ -1,5 +1,5 @@
 import {expect, it} from 'vitest';
-import {type GivenUpPeer, HeldBytes} from './held-bytes.js';
+import {type GivenUpPeer, HeldBytes, heldKind} from './held-bytes.js';
 
 function open(limit: number) {
 	const held = new HeldBytes(limit);
@@ -70,3 +70,16 @@
 	part('b').set(10);
 	expect(held.total).toBe(10);
 });
+
+// Guards against a log that does not tell which kind of bytes fills the memory.
+it('counts the bytes of each kind', () => {
+	const held = new HeldBytes(100);
+	const request = held.open('a', 'a', () => undefined);
+	const answer = held.open('a', 'a', () => undefined, heldKind.unsentAnswer);
+	request.set(30);
+	answer.set(50);
+	request.set(20);
+	expect(Object.fromEntries(held.byKind)).toEqual({request: 20, 'unsent-answer': 50});
+	answer.set(90);
+	expect(Object.fromEntries(held.byKind)).toEqual({request: 0, 'unsent-answer': 0});
+});
--- a/src/common/base/held-bytes.ts
+++ b/src/common/base/held-bytes.ts
@@ -5,6 +5,18 @@
 /** Share of the limit down to which bytes are given up, so that the next ones do not exceed it again at once. */
 const keptShare = 0.9;
 
+/** What bytes are held for. */
+export const heldKind = {
+	requestHead: 'request-head',
+	request: 'request',
+	unsentAnswer: 'unsent-answer',
+	answerHead: 'answer-head',
+	bufferedAnswer: 'buffered-answer',
+} as const;
+
+/** A value of `heldKind`. */
+export type HeldKind = typeof heldKind[keyof typeof heldKind];
+
 /** A peer that was given up. */
 export interface GivenUpPeer {
 	readonly peer: string;
@@ -28,6 +40,7 @@
 export class HeldBytes {
 	private readonly _peers = new Map<unknown, PeerParts>();
 	private readonly _onGivenUp = new Emitter<GivenUpPeer>();
+	private readonly _byKind = new Map<HeldKind, number>();
 	private _total = 0;
 
 	constructor(private readonly _limit = Infinity) {}
@@ -37,6 +50,11 @@
 		return this._total;
 	}
 
+	/** Number of bytes that are held of each kind. */
+	get byKind(): ReadonlyMap<HeldKind, number> {
+		return this._byKind;
+	}
+
 	/** Raised for each peer that is given up. */
 	get onGivenUp(): Event<GivenUpPeer> {
 		return this._onGivenUp.event;
@@ -49,7 +67,7 @@
 	@param name of the peer, for the log.
 	@param giveUp ends what the part is held for; it may be called while the part is changed.
 	*/
-	open(key: unknown, name: string, giveUp: () => void): HeldPart {
+	open(key: unknown, name: string, giveUp: () => void, kind: HeldKind = heldKind.request): HeldPart {
 		let peer = this._peers.get(key);
 		if (!peer) {
 			peer = {name, parts: new Set(), bytes: 0};
@@ -60,6 +78,7 @@
 		const part = new HeldPart(giveUp, delta => {
 			peer.bytes += delta;
 			this._total += delta;
+			this._byKind.set(kind, (this._byKind.get(kind) ?? 0) + delta);
 			if (delta > 0 && this._total > this._limit) {
 				this._shrink();
 			}
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -1,3 +1,4 @@
+import {heldKind} from '../base/held-bytes.js';
 import {type Disposable} from '../base/disposable.js';
 import {AnswerDelivery} from './answer-delivery.js';
 import {Attempt} from './attempt.js';
@@ -231,7 +232,7 @@
 			service, route: route.name, record, model: model ?? req.generation?.model,
 		}, now), held.open(record.key, record.server.id, () => {
 			this._onGivenUp(attempt);
-		}), isHandedOver, () => {
+		}, heldKind.bufferedAnswer), isHandedOver, () => {
 			places.release(service);
 		});
 		const {left} = this._attempts;
--- a/src/common/forwarding/forwarder.ts
+++ b/src/common/forwarding/forwarder.ts
@@ -63,6 +63,11 @@
 		return this._runs.size + this._queue.size + this._confirmations.size;
 	}
 
+	/** Lengths of the queues of requests, by what they wait for. */
+	get waiting(): {readonly lease: number; readonly confirmation: number; readonly connection: number} {
+		return {lease: this._queue.size, confirmation: this._confirmations.size, connection: this._services.places.size};
+	}
+
 	/** Forwards or refuses a request. While the host has no lease, or cannot know whether its refusal is still right, the request may wait for a short time. */
 	forward(req: ForwardRequest, sink: CallerSink): void {
 		const {counters, logger, clock} = this._services;
--- a/src/daemon/caller-server.ts
+++ b/src/daemon/caller-server.ts
@@ -6,7 +6,9 @@
 import {type Disposable} from '../common/base/disposable.js';
 import {Emitter} from '../common/base/emitter.js';
 import {type Event} from '../common/base/event.js';
-import {HeldBytes, type HeldPart} from '../common/base/held-bytes.js';
+import {
+	HeldBytes, heldKind, type HeldKind, type HeldPart,
+} from '../common/base/held-bytes.js';
 import {type Refusal} from '../common/forwarding/caller-sink.js';
 import {type ForwardRequest} from '../common/forwarding/forward-request.js';
 import {type Forwarder} from '../common/forwarding/forwarder.js';
@@ -55,7 +57,7 @@
 	private readonly _onRejected = new Emitter<Error>();
 	private readonly _onSlowed = new Emitter<SlowedCaller>();
 	private readonly _pacer = new PiecePacer(new SystemClock());
-	private readonly _heads = new OpenHeads(new SystemClock(), socket => this._hold(socket, socket.remoteAddress ?? ''));
+	private readonly _heads = new OpenHeads(new SystemClock(), socket => this._hold(socket, heldKind.requestHead));
 	private _limits: CallerLimits | undefined;
 	private _isClosed = false;
 	private readonly _open = new Set<HttpCallerSink>();
@@ -73,8 +75,7 @@
 			req.once('close', () => {
 				this._heads.expect(socket);
 			});
-			const address = socket.remoteAddress ?? '';
-			const [body, answer] = [this._hold(socket, address), this._hold(socket, address)];
+			const [body, answer] = [this._hold(socket, heldKind.request), this._hold(socket, heldKind.unsentAnswer)];
 			const sink = new HttpCallerSink(res, this._codec, unsent => {
 				answer.set(unsent);
 			});
@@ -162,10 +163,10 @@
 	}
 
 	/** Opens a part for the bytes of a connection; giving it up resets the connection, so that no answer looks complete. */
-	private _hold(socket: Socket, address: string): HeldPart {
-		return this._held.open(socket, address, () => {
+	private _hold(socket: Socket, kind: HeldKind): HeldPart {
+		return this._held.open(socket, socket.remoteAddress ?? '', () => {
 			socket.resetAndDestroy();
-		});
+		}, kind);
 	}
 
 	private _receive(req: IncomingMessage, res: ServerResponse, sink: HttpCallerSink, held: HeldPart): void {
--- a/src/node/timed-connector.ts
+++ b/src/node/timed-connector.ts
@@ -1,6 +1,6 @@
 import {type Socket} from 'node:net';
 import {buildConnector, errors} from 'undici';
-import {HeldBytes} from '../common/base/held-bytes.js';
+import {HeldBytes, heldKind} from '../common/base/held-bytes.js';
 import {guardReads} from './guarded-reads.js';
 import {ReadPacer} from './read-pacer.js';
 import {makeStrict} from './strict-socket.js';
@@ -25,7 +25,7 @@
 		makeStrict(socket);
 		guardReads(socket, pacer, held.open(socket, `${options.hostname}:${options.port}`, () => {
 			socket.destroy(new Error('too many bytes are held'));
-		}));
+		}, heldKind.answerHead));
 		const timer = setTimeout(() => {
 			socket.destroy(new errors.ConnectTimeoutError(`no connection to ${options.hostname}:${options.port} within ${timeoutMs} ms`));
 		}, timeoutMs);
