Join the changes for the memory of a host

Conflicts in the guard of reads (address of the review, held bytes of this side), in AnswerScanner (both had added what happens at the end of an answer) and in OPERATIONS.md (both rows are kept).

--- a/src/daemon/caller-server.ts
+++ b/src/daemon/caller-server.ts
@@ -6,7 +6,9 @@
 import {type Disposable} from '../common/base/disposable.js';
 import {Emitter} from '../common/base/emitter.js';
 import {type Event} from '../common/base/event.js';
-import {HeldBytes, type HeldPart} from '../common/base/held-bytes.js';
+import {
+	HeldBytes, heldKind, type HeldKind, type HeldPart,
+} from '../common/base/held-bytes.js';
 import {type Refusal} from '../common/forwarding/caller-sink.js';
 import {type ForwardRequest} from '../common/forwarding/forward-request.js';
 import {type Forwarder} from '../common/forwarding/forwarder.js';
@@ -17,6 +19,7 @@
 import {HttpCallerSink} from './http-caller-sink.js';
 import {listen} from './listen.js';
 import {type ListenAddress} from './listen-address.js';
+import {OpenHeads} from './open-heads.js';
 import {PacedSocket} from './paced-socket.js';
 import {PiecePacer} from './piece-pacer.js';
 
@@ -26,8 +29,11 @@
 const defaultBodyBytes = 4 * 1024 * 1024;
 /** Time in milliseconds for which an idle connection outlives the configured timeout, so that no request races with its close. */
 const idleMarginMs = 1000;
-/** Memory in bytes that a request takes besides its body, about. */
+/** Memory in bytes that a request takes besides its body and what follows, about. */
 const requestBytes = 8 * 1024;
+/** Memory in bytes that a header of a request and a part of its prompt take besides their text, about. */
+const headerMemoryBytes = 100;
+const promptPartBytes = 100;
 const headerEndBytes = 4;
 /** Retry time in seconds that a stopping host sends to callers, which then try another host. */
 const stoppingRetrySeconds = 0.05;
@@ -51,6 +57,7 @@
 	private readonly _onRejected = new Emitter<Error>();
 	private readonly _onSlowed = new Emitter<SlowedCaller>();
 	private readonly _pacer = new PiecePacer(new SystemClock());
+	private readonly _heads = new OpenHeads(new SystemClock(), socket => this._hold(socket, heldKind.requestHead));
 	private _limits: CallerLimits | undefined;
 	private _isClosed = false;
 	private readonly _open = new Set<HttpCallerSink>();
@@ -64,8 +71,11 @@
 			}
 
 			const {socket} = req;
-			const address = socket.remoteAddress ?? '';
-			const [body, answer] = [this._hold(socket, address), this._hold(socket, address)];
+			this._heads.complete(socket);
+			req.once('close', () => {
+				this._heads.expect(socket);
+			});
+			const [body, answer] = [this._hold(socket, heldKind.request), this._hold(socket, heldKind.unsentAnswer)];
 			const sink = new HttpCallerSink(res, this._codec, unsent => {
 				answer.set(unsent);
 			});
@@ -78,6 +88,9 @@
 			this._receive(req, res, sink, body);
 		});
 		this._connections = new CallerConnections(this._server);
+		this._server.on('connection', (socket: Socket) => {
+			this._heads.add(socket);
+		});
 		this._server.on('clientError', (error: Error & {code?: string}, socket: Socket) => {
 			this._onRejected.fire(error);
 			this._connections.reject(socket, statusByErrorCode.get(error.code ?? '') ?? badRequest);
@@ -149,19 +162,21 @@
 
 	dispose(): void {
 		this._pacer.dispose();
+		this._heads.dispose();
 		this._server.close();
 		this._server.closeAllConnections();
 	}
 
 	/** Opens a part for the bytes of a connection; giving it up resets the connection, so that no answer looks complete. */
-	private _hold(socket: Socket, address: string): HeldPart {
-		return this._held.open(socket, address, () => {
+	private _hold(socket: Socket, kind: HeldKind): HeldPart {
+		return this._held.open(socket, socket.remoteAddress ?? '', () => {
 			socket.resetAndDestroy();
-		});
+		}, kind);
 	}
 
 	private _receive(req: IncomingMessage, res: ServerResponse, sink: HttpCallerSink, held: HeldPart): void {
-		held.set(requestBytes);
+		const headMemory = requestBytes + headBytes(req) + (req.rawHeaders.length / 2 * headerMemoryBytes);
+		held.set(headMemory);
 		if (this._isClosed) {
 			sink.refuse({
 				status: 503, code: 'stopping', ran: 'no', retryAfterSeconds: stoppingRetrySeconds,
@@ -171,7 +186,7 @@
 		}
 
 		const maxBytes = this._limits?.maxBodyBytes ?? defaultBodyBytes;
-		if (this._limits && headerBytes(req) > this._limits.maxHeaderBytes) {
+		if (this._limits && headBytes(req) > this._limits.maxHeaderBytes) {
 			this._refuse(req, sink, {status: 431, code: 'header-too-large', ran: 'no'});
 			req.resume();
 			return;
@@ -211,12 +226,22 @@
 			}
 
 			body.push(chunk);
-			held.set(requestBytes + size);
+			held.set(headMemory + size);
 		});
 		req.once('end', () => {
 			// The connection may have been given up since the head of the request.
 			if (!isRefused && !req.socket.destroyed) {
-				this._forward(req, sink, size === 0 ? undefined : body.take());
+				const decoded = this._decode(req, size === 0 ? undefined : body.take());
+				if ('status' in decoded) {
+					sink.refuse(decoded);
+					return;
+				}
+
+				held.set(headMemory + size + ((decoded.generation?.parts.length ?? 0) * promptPartBytes));
+				// This part may have been given up.
+				if (!req.socket.destroyed) {
+					this._forwarder.forward(decoded, sink);
+				}
 			}
 		});
 	}
@@ -232,19 +257,10 @@
 			method: req.method ?? 'GET', target: req.url ?? '/', headers: req.rawHeaders, body,
 		});
 	}
-
-	private _forward(req: IncomingMessage, sink: HttpCallerSink, body: Uint8Array | undefined): void {
-		const decoded = this._decode(req, body);
-		if ('status' in decoded) {
-			sink.refuse(decoded);
-		} else {
-			this._forwarder.forward(decoded, sink);
-		}
-	}
 }
 
 /** Size of a request head in bytes, without its method, its HTTP version and optional white space. */
-function headerBytes(req: IncomingMessage): number {
+function headBytes(req: IncomingMessage): number {
 	let bytes = headerEndBytes + (req.url?.length ?? 0);
 	for (const text of req.rawHeaders) {
 		bytes += text.length + 2;
--- a/src/node/answer-scanner.ts
+++ b/src/node/answer-scanner.ts
@@ -4,6 +4,8 @@
 const maxLines = 1000;
 /** Length of a chunk header that has a size and its line end only. */
 const plainChunkHeaderBytes = 18;
+/** Memory that the HTTP client takes for a line besides its bytes, about. */
+const lineMemoryBytes = 400;
 /** Bytes of a header line that are kept to read the framing of the body. */
 const keptLineBytes = 256;
 
@@ -50,14 +52,22 @@
 	private _remaining = 0;
 	private _hasChunkSize = false;
 	private _hasEnded = false;
+	/** Whether no answer is expected. */
+	private _isOver = true;
 
 	/** Whether the last bytes that were followed complete an answer. */
 	get hasEnded(): boolean {
 		return this._hasEnded;
 	}
 
+	/** Memory in bytes that the HTTP client holds of the answer besides its body, about. */
+	get memory(): number {
+		return this._isOver ? 0 : this._overheadBytes + (this._lines * lineMemoryBytes);
+	}
+
 	/** Expects the answer to a request that begins now. */
 	begin(method: string): void {
+		this._isOver = false;
 		this._hasBody = method !== 'HEAD';
 		this._overheadBytes = 0;
 		this._extensionBytes = 0;
@@ -113,6 +123,7 @@
 
 	private _endAnswer(): void {
 		this._hasEnded = true;
+		this._isOver = true;
 		this._beginHead();
 	}
 
--- a/src/node/guarded-reads.ts
+++ b/src/node/guarded-reads.ts
@@ -1,5 +1,6 @@
 import {type Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
+import {type HeldPart} from '../common/base/held-bytes.js';
 import {AnswerScanner} from './answer-scanner.js';
 import {type ReadPacer} from './read-pacer.js';
 
@@ -9,8 +10,10 @@
 Bounds what the answers on a connection cost the HTTP client: bytes besides their bodies are limited, small chunks wait for their
 turn, and nothing is parsed after the connection was given up. `address` is that of the peer; the socket caches its own record of it,
 whose absence tells a reset from an end.
+
+@param held counts the memory for heads and trailers.
 */
-export function guardReads(socket: Socket, pacer: ReadPacer, address: string): void {
+export function guardReads(socket: Socket, pacer: ReadPacer, address: string, held?: HeldPart): void {
 	const scanner = new AnswerScanner();
 	const turns = pacer.open(address, () => {
 		if (!socket.destroyed) {
@@ -19,6 +22,7 @@
 	});
 	socket.once('close', () => {
 		turns.dispose();
+		held?.dispose();
 	});
 
 	const write = socket.write.bind(socket) as (...args: unknown[]) => boolean;
@@ -61,6 +65,12 @@
 		try {
 			const followed = scanner.follow(bytes.subarray(known), turns.available);
 			turns.take(followed.chunks);
+			held?.set(scanner.memory);
+			if (socket.destroyed) {
+				// The part was given up.
+				return null;
+			}
+
 			const end = known + followed.bytes;
 			if (end < bytes.length) {
 				unshift(bytes.subarray(end));
