Let answers take turns within a turn of the event loop

What callers saw: beside servers that send valid small events at full speed, 62 of 80 sound requests of the same host were late or lost, and the event loop was held for 370 ms.

Cause: each connection that has bytes is read to its end in the same turn of the event loop. 64 KiB of small events take 4 to 20 ms, and all connections with bytes are handled before the next timer or caller. The limits on chunks and on bytes besides the body do not apply, because the answers are valid and arrive in large chunks or without any.

Ruled out: the HTTP parser; without chunks (events to the close) it was the same, 61 of 80.

Change: after 8 ms of one turn of the event loop, a connection reads 4 KiB and goes on in a later turn, first come, first served. Short answers do not wait. The processor stays in use as long as there is work, so that large answers of sound servers are not limited.

--- a/src/node/guarded-reads.ts
+++ b/src/node/guarded-reads.ts
@@ -50,11 +50,18 @@
 			return null;
 		}
 
-		const bytes = read(size);
+		const maxBytes = returned + turns.maxBytes;
+		const isLate = socket.readableLength > maxBytes;
+		// Without the size, the stream would read ahead.
+		const bytes = read(isLate ? maxBytes : size);
 		if (bytes === null) {
 			return null;
 		}
 
+		if (isLate) {
+			turns.yieldLoop();
+		}
+
 		const known = Math.min(returned, bytes.length);
 		returned -= known;
 		try {
--- a/src/node/read-pacer.ts
+++ b/src/node/read-pacer.ts
@@ -12,6 +12,10 @@
 const sharedBurst = 2000;
 /** Chunks that a connection takes before the next one in the queue. */
 const turnChunks = 256;
+/** Time in milliseconds for answers in one turn of the event loop, before timers and other connections come first. */
+const loopTurnMs = 8;
+/** Bytes that a connection may read when the time of the turn is used up; most answers without much content are shorter. */
+const lateReadBytes = 4096;
 
 /** Shares the processor time for answers in small chunks among connections. Each chunk costs the parser about as long as a kilobyte does. */
 export class ReadPacer implements Disposable {
@@ -19,6 +23,11 @@
 	private readonly _waiting = new Set<ReadTurns>();
 	private _timer: Disposable | undefined;
 	private readonly _onSlowed = new Emitter<string>();
+	/** When the time for answers in the present turn of the event loop is used up. */
+	private _loopTurnEndsAt: number | undefined;
+	/** Connections that go on in the next turn of the event loop. */
+	private readonly _late = new Set<ReadTurns>();
+	private _immediate: NodeJS.Immediate | undefined;
 
 	constructor(private readonly _clock: Clock) {
 		this._shared = new TokenBucket(sharedRate, sharedBurst, _clock.now());
@@ -42,6 +51,11 @@
 			},
 			leave: turns => {
 				this._waiting.delete(turns);
+				this._late.delete(turns);
+			},
+			maxBytes: () => this._isLoopTurnOver() ? lateReadBytes : Number.POSITIVE_INFINITY,
+			yieldLoop: turns => {
+				this._late.add(turns);
 			},
 			report: address => {
 				this._onSlowed.fire(address);
@@ -52,6 +66,33 @@
 	dispose(): void {
 		this._timer?.dispose();
 		this._waiting.clear();
+		clearImmediate(this._immediate);
+		this._late.clear();
+	}
+
+	private _isLoopTurnOver(): boolean {
+		this._loopTurnEndsAt ??= this._clock.now() + loopTurnMs;
+		this._immediate ??= setImmediate(() => {
+			this._beginLoopTurn();
+		});
+		return this._clock.now() >= this._loopTurnEndsAt;
+	}
+
+	private _beginLoopTurn(): void {
+		this._immediate = undefined;
+		this._loopTurnEndsAt = undefined;
+		// A connection that has more bytes is late again, behind the others.
+		for (const turns of this._late) {
+			if (this._isLoopTurnOver()) {
+				break;
+			}
+
+			this._late.delete(turns);
+			turns.resume(0);
+		}
+
+		// New bytes get a turn of their own.
+		this._loopTurnEndsAt = undefined;
 	}
 
 	private _schedule(): void {
@@ -85,6 +126,8 @@
 	take(chunks: number): void;
 	wait(turns: ReadTurns): void;
 	leave(turns: ReadTurns): void;
+	maxBytes(): number;
+	yieldLoop(turns: ReadTurns): void;
 	report(address: string): void;
 }
 
@@ -110,6 +153,17 @@
 		return Math.floor(this._ownChunks + Math.max(this._granted, this._shared.available()));
 	}
 
+	/** Number of bytes that may be read now, so that the event loop is not held. */
+	get maxBytes(): number {
+		return this._shared.maxBytes();
+	}
+
+	/** Waits for the next turn of the event loop. */
+	yieldLoop(): void {
+		this._isWaiting = true;
+		this._shared.yieldLoop(this);
+	}
+
 	/** Counts chunks that were taken. */
 	take(chunks: number): void {
 		const own = Math.min(chunks, this._ownChunks);
