--- a/bench/endless/host-probe.ts
+++ b/bench/endless/host-probe.ts
@@ -1,6 +1,7 @@
 /** Preloaded into a host: measures its event loop, its memory and what it reads from its servers. Answers each message with the figures since the last one. */
 import {subscribe} from 'node:diagnostics_channel';
 import {type Socket} from 'node:net';
+import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import {type HostFigures, type ReadFigures} from './host-figures.js';
 
@@ -14,9 +15,14 @@
 let peakBytes = 0;
 let steps = 0;
 let at = performance.now();
-let usage = process.cpuUsage();
+let loopMs = loopProcessorMs();
 let usageAtStart = process.cpuUsage();
 
+/** Returns the processor time of the thread with the event loop; that of the process includes its helpers. */
+function loopProcessorMs(): number {
+	return Number(readFileSync('/proc/self/schedstat', 'utf8').split(' ')[0]) / 1e6;
+}
+
 /** Counts the bytes that a connection has read since it was last counted. */
 function count(socket: Socket, bytesBefore: number): void {
 	const {remoteAddress} = socket;
@@ -49,17 +55,17 @@
 
 setInterval(() => {
 	const now = performance.now();
-	const {user, system} = process.cpuUsage(usage);
+	const usedMs = loopProcessorMs();
 	const pauseMs = now - at - sampleMs;
 	longestPauseMs = Math.max(longestPauseMs, pauseMs);
 	// Time that the process did not get does not count as held.
-	longestHeldMs = Math.max(longestHeldMs, Math.min(pauseMs, (user + system) / 1000));
+	longestHeldMs = Math.max(longestHeldMs, Math.min(pauseMs, usedMs - loopMs));
 	if (steps++ % memorySampleSteps === 0) {
 		peakBytes = Math.max(peakBytes, process.memoryUsage.rss());
 	}
 
 	at = now;
-	usage = process.cpuUsage();
+	loopMs = usedMs;
 }, sampleMs).unref();
 
 process.on('message', () => {
