--- a/src/node/read-pacer.ts
+++ b/src/node/read-pacer.ts
@@ -16,6 +16,10 @@
 const minWaitMs = 1;
 /** Time in milliseconds after which no further connection gets a turn before the event loop has served others. */
 const maxResumeMs = 5;
+/** Time in milliseconds for answers in one turn of the event loop, before timers and other connections come first. */
+const loopTurnMs = 8;
+/** Bytes that a connection may read when the time of the turn is used up; most answers without much content are shorter. */
+const lateReadBytes = 4096;
 
 /** Shares the processor time for answers in small chunks among connections. Each chunk costs the parser about as long as a kilobyte does. */
 export class ReadPacer implements Disposable {
@@ -24,6 +28,11 @@
 	private readonly _waiting = new Map<string, Set<ReadTurns>>();
 	private _timer: Disposable | undefined;
 	private readonly _onSlowed = new Emitter<string>();
+	/** When the time for answers in the present turn of the event loop is used up. */
+	private _loopTurnEndsAt: number | undefined;
+	/** Connections that go on in the next turn of the event loop. */
+	private readonly _late = new Set<ReadTurns>();
+	private _immediate: NodeJS.Immediate | undefined;
 
 	constructor(private readonly _clock: Clock) {
 		this._shared = new TokenBucket(sharedRate, sharedBurst, _clock.now());
@@ -56,6 +65,11 @@
 				if (queue?.delete(turns) && queue.size === 0) {
 					this._waiting.delete(address);
 				}
+				this._late.delete(turns);
+			},
+			maxBytes: () => this._isLoopTurnOver() ? lateReadBytes : Number.POSITIVE_INFINITY,
+			yieldLoop: turns => {
+				this._late.add(turns);
 			},
 			report: () => {
 				this._onSlowed.fire(address);
@@ -66,6 +80,33 @@
 	dispose(): void {
 		this._timer?.dispose();
 		this._waiting.clear();
+		clearImmediate(this._immediate);
+		this._late.clear();
+	}
+
+	private _isLoopTurnOver(): boolean {
+		this._loopTurnEndsAt ??= this._clock.now() + loopTurnMs;
+		this._immediate ??= setImmediate(() => {
+			this._beginLoopTurn();
+		});
+		return this._clock.now() >= this._loopTurnEndsAt;
+	}
+
+	private _beginLoopTurn(): void {
+		this._immediate = undefined;
+		this._loopTurnEndsAt = undefined;
+		// A connection that has more bytes is late again, behind the others.
+		for (const turns of this._late) {
+			if (this._isLoopTurnOver()) {
+				break;
+			}
+
+			this._late.delete(turns);
+			turns.resume(0);
+		}
+
+		// New bytes get a turn of their own.
+		this._loopTurnEndsAt = undefined;
 	}
 
 	private _schedule(minDelayMs = minWaitMs): void {
@@ -118,6 +159,8 @@
 	wait(turns: ReadTurns): void;
 	leave(turns: ReadTurns): void;
 	report(): void;
+	maxBytes(): number;
+	yieldLoop(turns: ReadTurns): void;
 }
 
 /** The chunks of one connection. */
@@ -142,6 +185,17 @@
 		return Math.floor(this._ownChunks + Math.max(this._granted, this._shared.available()));
 	}
 
+	/** Number of bytes that may be read now, so that the event loop is not held. */
+	get maxBytes(): number {
+		return this._shared.maxBytes();
+	}
+
+	/** Waits for the next turn of the event loop. */
+	yieldLoop(): void {
+		this._isWaiting = true;
+		this._shared.yieldLoop(this);
+	}
+
 	/** Counts chunks that were taken. */
 	take(chunks: number): void {
 		const own = Math.min(chunks, this._ownChunks);
