Test ends of connections that arrive in a pause by their framing

The end of a connection that arrives on its own, while the caller does not read and all bytes have been taken, made the HTTP client fail `assert(!this.paused)` in Parser.finish, outside of any request.

--- a/src/node/answer-ends.test.ts
+++ b/src/node/answer-ends.test.ts
@@ -137,3 +137,21 @@
 	expect(await first).toEqual({bytes: 3, ending: 'failure'});
 	expect(await second).toEqual({bytes: 3, ending: 'end'});
 });
+
+// Guards against a host that ends by an assertion of the HTTP client when the end of a connection arrives on its own while the caller
+// does not read and all bytes have been taken.
+it.each([
+	['close', 'HTTP/1.1 200 OK\r\n\r\nabc', 'end'],
+	['length, then close', 'HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 9\r\n\r\nabc', 'failure'],
+	['chunked, then close', 'HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n', 'failure'],
+	['chunked', 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n', 'failure'],
+])('reports the end of a connection ($0) that arrives in a pause', async (_framing, bytes, ending) => {
+	const address = await listen(socket => {
+		socket.write(bytes, () => {
+			setTimeout(() => {
+				socket.end();
+			}, 20);
+		});
+	});
+	expect(await send(address, 60)).toEqual({bytes: 3, ending});
+});
