Cover ends of connections in a pause by all framings

The end of a connection that arrives on its own while an answer is paused had an effect by five of seven framings.

--- a/src/node/answer-ends.test.ts
+++ b/src/node/answer-ends.test.ts
@@ -138,14 +138,20 @@
 	expect(await second).toEqual({bytes: 3, ending: 'end'});
 });
 
-// Guards against a host that ends by an assertion of the HTTP client when the end of a connection arrives on its own while the caller
-// does not read and all bytes have been taken.
+const lengthHead = 'HTTP/1.1 200 OK\r\ncontent-length: ';
+const closeHead = 'HTTP/1.1 200 OK\r\nconnection: close\r\n';
+
+// Guards against a host that ends by an assertion of the HTTP client, and against a whole answer that counts as broken, when the end of
+// a connection arrives on its own while the caller does not read and all bytes have been taken.
 it.each([
 	['close', 'HTTP/1.1 200 OK\r\n\r\nabc', 'end'],
-	['length, then close', 'HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 9\r\n\r\nabc', 'failure'],
-	['chunked, then close', 'HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n', 'failure'],
-	['chunked', 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n', 'failure'],
-])('reports the end of a connection ($0) that arrives in a pause', async (_framing, bytes, ending) => {
+	['length', `${lengthHead}3\r\n\r\nabc`, 'end'],
+	['length, cut', `${lengthHead}9\r\n\r\nabc`, 'failure'],
+	['length, then close', `${closeHead}content-length: 3\r\n\r\nabc`, 'end'],
+	['length, then close, cut', `${closeHead}content-length: 9\r\n\r\nabc`, 'failure'],
+	['chunked, cut', 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\nabc', 'failure'],
+	['chunked, then close, cut', `${closeHead}transfer-encoding: chunked\r\n\r\n9\r\nabc`, 'failure'],
+])('reports an end of a connection that arrives in a pause of an answer (%s)', async (_framing, bytes, ending) => {
 	const address = await listen(socket => {
 		socket.write(bytes, () => {
 			setTimeout(() => {
@@ -154,4 +160,4 @@
 		});
 	});
 	expect(await send(address, 60)).toEqual({bytes: 3, ending});
-});
+}, 3000);
