Limit what the requests on a connection cost an entry host besides bodies

What callers saw: beside 40 connections that send small requests, chunks of one byte, zeros of a chunk size or blank lines without an end, requests of other callers of the same host were late or got no answer.

Cause: the HTTP server parses all of a read of 64 KiB at once, which are 2300 requests or 11,000 chunks, and takes its next read from each such connection in the same turn of the event loop. It limits neither blank lines nor zeros of a chunk size. PiecePacer paused a body only after the read that was too much, and saw bodies only.

Ruled out: the forwarding code and memory; the pauses are there with answers that are complete at once.

Change: RequestGuard takes the bytes of each connection before the parser. RequestScanner gives a request up after 64 KiB or 1000 lines besides its body, and counts chunks and requests that arrive together; ReadPacer lets their connections take turns. Nothing is read any more after bytes that are no request. PiecePacer and PacedSocket, and their tests, are replaced by this: read-pacer.test.ts (shares, order, rate, closed connections) and guarded-requests.test.ts (paused connections, order, ends). MessageScanner is the common part of AnswerScanner and RequestScanner.

unread-answers.test.ts: a single connection whose answers are not read no longer reaches the limit of held bytes, because its next requests are not read; the test now asks that nothing is given up then, with the same bounds.

--- a/src/daemon/caller-server.ts
+++ b/src/daemon/caller-server.ts
@@ -11,14 +11,14 @@
 import {type ForwardRequest} from '../common/forwarding/forward-request.js';
 import {type Forwarder} from '../common/forwarding/forwarder.js';
 import {type CallerLimits} from '../common/forwarding/routing-config.js';
+import {RequestGuard} from '../node/guarded-requests.js';
+import {requestOverheadCode} from '../node/request-scanner.js';
 import {SystemClock} from '../node/system-clock.js';
 import {type CallerCodec} from './caller-codec.js';
 import {CallerConnections} from './caller-connections.js';
 import {HttpCallerSink} from './http-caller-sink.js';
 import {listen} from './listen.js';
 import {type ListenAddress} from './listen-address.js';
-import {PacedSocket} from './paced-socket.js';
-import {PiecePacer} from './piece-pacer.js';
 
 /** Largest request head in bytes that the HTTP parser accepts; the configured limit is checked afterwards. */
 const parserHeaderBytes = 64 * 1024;
@@ -34,14 +34,7 @@
 
 const badRequest = 400;
 /** Statuses for requests that the HTTP parser rejects, by the code of its error. */
-const statusByErrorCode: ReadonlyMap<string, number> = new Map([['HPE_HEADER_OVERFLOW', 431], ['ERR_HTTP_REQUEST_TIMEOUT', 408]]);
-
-/** A caller whose request body is slowed down. */
-export interface SlowedCaller {
-	readonly address: string | undefined;
-	/** Number of bytes of the body that have arrived. */
-	readonly bytes: number;
-}
+const statusByErrorCode: ReadonlyMap<string, number> = new Map([['HPE_HEADER_OVERFLOW', 431], [requestOverheadCode.head, 431], ['ERR_HTTP_REQUEST_TIMEOUT', 408]]);
 
 /** HTTP server that reads requests of callers and passes them to the forwarder. */
 export class CallerServer implements Disposable {
@@ -49,8 +42,7 @@
 	private readonly _connections: CallerConnections;
 	private readonly _onError = new Emitter<Error>();
 	private readonly _onRejected = new Emitter<Error>();
-	private readonly _onSlowed = new Emitter<SlowedCaller>();
-	private readonly _pacer = new PiecePacer(new SystemClock());
+	private readonly _guard: RequestGuard;
 	private _limits: CallerLimits | undefined;
 	private _isClosed = false;
 	private readonly _open = new Set<HttpCallerSink>();
@@ -77,6 +69,7 @@
 			});
 			this._receive(req, res, sink, body);
 		});
+		this._guard = new RequestGuard(this._server, new SystemClock());
 		this._connections = new CallerConnections(this._server);
 		this._server.on('clientError', (error: Error & {code?: string}, socket: Socket) => {
 			this._onRejected.fire(error);
@@ -101,9 +94,9 @@
 		return this._onRejected.event;
 	}
 
-	/** Raised once a request when its body is slowed down because it arrives in very small pieces. */
-	get onSlowed(): Event<SlowedCaller> {
-		return this._onSlowed.event;
+	/** Raised with the address of a caller once a connection when its bytes are slowed down because they cost much time. */
+	get onSlowed(): Event<string> {
+		return this._guard.onSlowed;
 	}
 
 	/** Starts to listen; a failed attempt may be repeated. @returns the port. */
@@ -143,7 +136,7 @@
 	}
 
 	dispose(): void {
-		this._pacer.dispose();
+		this._guard.dispose();
 		this._server.close();
 		this._server.closeAllConnections();
 	}
@@ -187,15 +180,8 @@
 			return;
 		}
 
-		const pieces = this._pacer.add(new PacedSocket(req.socket), () => {
-			this._onSlowed.fire({address: req.socket.remoteAddress, bytes: size});
-		});
-		req.once('close', () => {
-			pieces.dispose();
-		});
 		req.on('data', (chunk: Uint8Array) => {
 			size += chunk.length;
-			pieces.record(chunk.length);
 			if (isRefused) {
 				return;
 			}
--- a/src/node/answer-scanner.ts
+++ b/src/node/answer-scanner.ts
@@ -1,226 +1,51 @@
-/** Bytes of an answer besides its body that are accepted: its heads, its trailers, and what its chunk headers have beyond a size. */
-const maxOverheadBytes = 32 * 1024;
-/** Lines of all heads and trailers of an answer. */
-const maxLines = 1000;
-/** Length of a chunk header that has a size and its line end only. */
-const plainChunkHeaderBytes = 18;
-/** Bytes of a header line that are kept to read the framing of the body. */
-const keptLineBytes = 256;
+import {
+	defaultBody, framingState, type FramingState, MessageOverheadError, MessageScanner,
+} from './message-scanner.js';
 
-const lineFeed = 0x0A;
+/** Interim answers count towards the final one. */
+const limits = {bytes: 32 * 1024, lines: 1000} as const;
 const firstFinalStatus = 200;
 const noBodyStatuses: ReadonlySet<number> = new Set([204, 304]);
 
-const framingState = {
-	head: 'head',
-	sizedBody: 'sized body',
-	bodyToClose: 'body to the close',
-	chunkHeader: 'chunk header',
-	chunkData: 'chunk data',
-	trailers: 'trailers',
-} as const;
-type FramingState = typeof framingState[keyof typeof framingState];
-
-/** Error code of an answer that was given up for its overhead. */
-const overheadCode = 'ANSWER_OVERHEAD';
-
 /** An answer has more bytes besides its body than any useful answer needs. */
-export class AnswerOverheadError extends Error {
-	readonly code = overheadCode;
+export class AnswerOverheadError extends MessageOverheadError {
+	constructor(message: string) {
+		super(message, 'ANSWER_OVERHEAD');
+	}
 }
 
 /**
-Follows the framing of the answers on a connection before the HTTP parser gets their bytes. The parser limits neither the status
-line, the chunk headers nor the number of interim answers, and parses on beyond its limits to the end of what was read.
+Follows the answers of a server. The HTTP client limits neither the status line, the chunk headers nor the number of interim
+answers. A chunk costs one unit.
 */
-export class AnswerScanner {
-	private _state: FramingState = framingState.head;
-	private _hasBody = true;
-	private _overheadBytes = 0;
-	private _lines = 0;
-	private _line = '';
-	private _lineBytes = 0;
-	private _status: number | undefined;
-	private _isChunked = false;
-	private _length: number | undefined;
-	/** Bytes until the end of the body or of the chunk. */
-	private _remaining = 0;
-	private _hasChunkSize = false;
-
-	/** Expects the answer to a request that begins now. */
-	begin(method: string): void {
-		this._hasBody = method !== 'HEAD';
-		this._overheadBytes = 0;
-		this._lines = 0;
-		this._beginHead();
-	}
-
-	/**
-	Follows bytes as far as the beginning of the chunk after `maxChunks`.
-	@returns the number of bytes that were followed, and of chunks that began in them.
-	@throws AnswerOverheadError
-	*/
-	follow(bytes: Uint8Array, maxChunks: number): {readonly bytes: number; readonly chunks: number} {
-		let at = 0;
-		let chunks = 0;
-		while (at < bytes.length) {
-			if (this._state === framingState.bodyToClose) {
-				return {bytes: bytes.length, chunks};
-			}
-
-			if (this._state === framingState.sizedBody || this._state === framingState.chunkData) {
-				const taken = Math.min(this._remaining, bytes.length - at);
-				at += taken;
-				this._remaining -= taken;
-				if (this._remaining === 0) {
-					this._endData();
-				}
-
-				continue;
-			}
-
-			if (this._state === framingState.chunkHeader && this._lineBytes === 0) {
-				if (chunks >= maxChunks) {
-					break;
-				}
-
-				chunks++;
-			}
-
-			const lineEnd = bytes.indexOf(lineFeed, at);
-			const end = lineEnd === -1 ? bytes.length : lineEnd + 1;
-			this._readLine(bytes, at, end);
-			at = end;
-			if (lineEnd !== -1) {
-				this._endLine();
-			}
-		}
-
-		return {bytes: at, chunks};
-	}
+export class AnswerScanner extends MessageScanner {
+	private _isBodyAllowed = true;
+	private _status = firstFinalStatus;
 
-	private _beginHead(): void {
-		this._state = framingState.head;
-		this._status = undefined;
-		this._isChunked = false;
-		this._length = undefined;
-		this._beginLine();
+	constructor() {
+		super(limits);
 	}
 
-	private _beginLine(): void {
-		this._line = '';
-		this._lineBytes = 0;
-		this._hasChunkSize = false;
-	}
-
-	/** Reads a part of a line. */
-	private _readLine(bytes: Uint8Array, start: number, end: number): void {
-		const length = end - start;
-		if (this._state === framingState.chunkHeader) {
-			this._overheadBytes += Math.max(0, this._lineBytes + length - plainChunkHeaderBytes) - Math.max(0, this._lineBytes - plainChunkHeaderBytes);
-			this._readChunkSize(bytes, start, end);
-		} else {
-			this._overheadBytes += length;
-			const kept = Math.min(length, keptLineBytes - this._line.length);
-			for (let at = start; at < start + kept; at++) {
-				this._line += String.fromCodePoint(bytes[at]!);
-			}
-		}
-
-		this._lineBytes += length;
-		if (this._overheadBytes > maxOverheadBytes) {
-			throw new AnswerOverheadError(`more than ${maxOverheadBytes} bytes besides the body, in the ${this._state}`);
-		}
-	}
-
-	private _readChunkSize(bytes: Uint8Array, start: number, end: number): void {
-		for (let at = start; at < end && !this._hasChunkSize; at++) {
-			const digit = hexDigit(bytes[at]!);
-			if (digit === undefined) {
-				this._hasChunkSize = true;
-			} else {
-				this._remaining = (this._remaining * 16) + digit;
-			}
-		}
-	}
-
-	private _endLine(): void {
-		if (this._state === framingState.chunkHeader) {
-			if (this._remaining === 0) {
-				this._state = framingState.trailers;
-			} else {
-				// The line end after the data belongs to the chunk.
-				this._remaining += 2;
-				this._state = framingState.chunkData;
-			}
-
-			this._beginLine();
-			return;
-		}
-
-		if (++this._lines > maxLines) {
-			throw new AnswerOverheadError(`more than ${maxLines} lines besides the body, in the ${this._state}`);
-		}
-
-		const line = this._line.trim();
-		this._beginLine();
-		if (this._state === framingState.trailers) {
-			if (line === '') {
-				this._beginHead();
-			}
-		} else if (line === '') {
-			// The parser ignores blank lines before an answer.
-			if (this._status !== undefined) {
-				this._endHead();
-			}
-		} else if (this._status === undefined) {
-			this._status = Number(/^HTTP\/\S+ (?<status>\d{3})/v.exec(line)?.groups?.status ?? firstFinalStatus);
-		} else {
-			this._readHeader(line);
-		}
+	/** Expects the answer to a request that begins now. */
+	begin(method: string): void {
+		this._isBodyAllowed = method !== 'HEAD';
+		this.resetOverhead();
+		this.beginHead();
 	}
 
-	private _readHeader(line: string): void {
-		const colon = line.indexOf(':');
-		const name = line.slice(0, colon).toLowerCase();
-		if (name === 'content-length') {
-			this._length = Number(line.slice(colon + 1));
-		} else if (name === 'transfer-encoding') {
-			this._isChunked = line.toLowerCase().endsWith('chunked');
-		}
+	protected override get body() {
+		return {isPossible: this._isBodyAllowed && this._status >= firstFinalStatus && !noBodyStatuses.has(this._status), byDefault: defaultBody.toClose};
 	}
 
-	private _endHead(): void {
-		if (this._status! < firstFinalStatus || !this._hasBody || noBodyStatuses.has(this._status!)) {
-			this._beginHead();
-		} else if (this._isChunked) {
-			this._state = framingState.chunkHeader;
-			this._remaining = 0;
-		} else if (this._length === undefined) {
-			this._state = framingState.bodyToClose;
-		} else {
-			this._state = framingState.sizedBody;
-			this._remaining = this._length;
-			if (!(this._length > 0)) {
-				this._beginHead();
-			}
-		}
+	protected override costOf(state: FramingState): number {
+		return state === framingState.chunkHeader ? 1 : 0;
 	}
 
-	private _endData(): void {
-		if (this._state === framingState.chunkData) {
-			this._state = framingState.chunkHeader;
-		} else {
-			this._beginHead();
-		}
+	protected override readFirstLine(line: string): void {
+		this._status = Number(/^HTTP\/\S+ (?<status>\d{3})/v.exec(line)?.groups?.status ?? firstFinalStatus);
 	}
-}
 
-function hexDigit(byte: number): number | undefined {
-	if (byte >= 0x30 && byte <= 0x39) {
-		return byte - 0x30;
+	protected override createError(message: string): AnswerOverheadError {
+		return new AnswerOverheadError(message);
 	}
-
-	const lower = byte | 0x20; // eslint-disable-line no-bitwise -- folds the case of a letter
-	return lower >= 0x61 && lower <= 0x66 ? lower - 0x57 : undefined;
 }
--- a/src/node/guarded-reads.ts
+++ b/src/node/guarded-reads.ts
@@ -59,7 +59,7 @@
 		returned -= known;
 		try {
 			const followed = scanner.follow(bytes.subarray(known), turns.available);
-			turns.take(followed.chunks);
+			turns.take(followed.units);
 			const end = known + followed.bytes;
 			if (end < bytes.length) {
 				unshift(bytes.subarray(end));
--- a/src/node/read-pacer.ts
+++ b/src/node/read-pacer.ts
@@ -4,14 +4,22 @@
 import {Emitter} from '../common/base/emitter.js';
 import {type Event} from '../common/base/event.js';
 
-/** Chunks a second, and at once, that a connection takes whatever the others take: those of a stream of events. */
-const ownRate = 100;
-const ownBurst = 64;
-/** Chunks a second, and at once, that all connections take beyond their own. A chunk of one byte costs about 4 µs. */
-const sharedRate = 40_000;
-const sharedBurst = 2000;
-/** Chunks that a connection takes before the next one in the queue. */
-const turnChunks = 256;
+/** Rates at which connections may use the processor, in units of the cost of a small chunk. */
+export interface ReadRates {
+	/** Units a second, and at once, that a connection takes whatever the others take: those of a stream of events. */
+	readonly ownRate: number;
+	readonly ownBurst: number;
+	/** Units a second, and at once, that all connections take beyond their own. */
+	readonly sharedRate: number;
+	readonly sharedBurst: number;
+	/** Units that a connection takes before the next one in the queue; at least the highest cost of a line, at most `sharedBurst`. */
+	readonly turn: number;
+}
+
+/** Rates of the answers of servers: a chunk of one byte costs about 4 µs. */
+const answerRates: ReadRates = {
+	ownRate: 100, ownBurst: 64, sharedRate: 40_000, sharedBurst: 2000, turn: 256,
+};
 
 /** Shares the processor time for answers in small chunks among connections. Each chunk costs the parser about as long as a kilobyte does. */
 export class ReadPacer implements Disposable {
@@ -20,8 +28,8 @@
 	private _timer: Disposable | undefined;
 	private readonly _onSlowed = new Emitter<string>();
 
-	constructor(private readonly _clock: Clock) {
-		this._shared = new TokenBucket(sharedRate, sharedBurst, _clock.now());
+	constructor(private readonly _clock: Clock, private readonly _rates = answerRates) {
+		this._shared = new TokenBucket(_rates.sharedRate, _rates.sharedBurst, _clock.now());
 	}
 
 	/** Raised with the address of a peer once for each connection that is slowed down. */
@@ -31,8 +39,8 @@
 
 	/** Begins to count the chunks of a connection. `resume` is called when it may read again after `wait`. */
 	open(resume: () => void): ReadTurns {
-		return new ReadTurns(this._clock, {
-			available: () => this._waiting.size === 0 ? Math.min(turnChunks, this._shared.available(this._clock.now())) : 0,
+		return new ReadTurns(this._clock, new TokenBucket(this._rates.ownRate, this._rates.ownBurst, this._clock.now()), {
+			available: () => this._waiting.size === 0 ? Math.min(this._rates.turn, this._shared.available(this._clock.now())) : 0,
 			take: chunks => {
 				this._shared.take(chunks, this._clock.now());
 			},
@@ -55,7 +63,7 @@
 	}
 
 	private _schedule(): void {
-		this._timer ??= this._clock.setTimer(this._shared.waitMs(turnChunks, this._clock.now()), () => {
+		this._timer ??= this._clock.setTimer(this._shared.waitMs(this._rates.turn, this._clock.now()), () => {
 			this._timer = undefined;
 			this._resumeWaiting();
 		});
@@ -64,13 +72,12 @@
 	private _resumeWaiting(): void {
 		// A connection that has more chunks waits again, behind the others.
 		for (const turns of this._waiting) {
-			const shared = this._shared.available(this._clock.now());
-			if (shared < 1) {
+			if (this._shared.available(this._clock.now()) < this._rates.turn) {
 				break;
 			}
 
 			this._waiting.delete(turns);
-			turns.resume(Math.min(turnChunks, shared));
+			turns.resume(this._rates.turn);
 		}
 
 		if (this._waiting.size > 0) {
@@ -90,15 +97,12 @@
 
 /** The chunks of one connection. */
 export class ReadTurns implements Disposable {
-	private readonly _own: TokenBucket;
 	/** Shared chunks that this connection may take in its present turn. */
 	private _granted = 0;
 	private _isWaiting = false;
 	private _isSlowed = false;
 
-	constructor(private readonly _clock: Clock, private readonly _shared: SharedReads, private readonly _resume: () => void) {
-		this._own = new TokenBucket(ownRate, ownBurst, _clock.now());
-	}
+	constructor(private readonly _clock: Clock, private readonly _own: TokenBucket, private readonly _shared: SharedReads, private readonly _resume: () => void) {}
 
 	/** Whether the connection may not read. */
 	get isWaiting(): boolean {
