Limit what requests cost the listeners of the control hosts and the daemon

What callers saw: beside 40 connections that send bytes without an end to the control, peer, readiness or metrics interface, or to a daemon, other calls were late or got no answer.

In addition, both read the rest of a refused body without a limit.

Change: both use RequestGuard, and answer bytes that are no request like the entry host does. A body whose stated length is too large is refused before it is read.

--- a/src/daemon/caller-server.ts
+++ b/src/daemon/caller-server.ts
@@ -12,13 +12,13 @@
 import {type Forwarder} from '../common/forwarding/forwarder.js';
 import {type CallerLimits} from '../common/forwarding/routing-config.js';
 import {RequestGuard} from '../node/guarded-requests.js';
-import {requestOverheadCode} from '../node/request-scanner.js';
 import {SystemClock} from '../node/system-clock.js';
 import {type CallerCodec} from './caller-codec.js';
 import {CallerConnections} from './caller-connections.js';
 import {HttpCallerSink} from './http-caller-sink.js';
 import {listen} from './listen.js';
 import {type ListenAddress} from './listen-address.js';
+import {rejectionStatus} from './rejection-status.js';
 
 /** Largest request head in bytes that the HTTP parser accepts; the configured limit is checked afterwards. */
 const parserHeaderBytes = 64 * 1024;
@@ -32,10 +32,6 @@
 /** Retry time in seconds that a stopping host sends to callers, which then try another host. */
 const stoppingRetrySeconds = 0.05;
 
-const badRequest = 400;
-/** Statuses for requests that the HTTP parser rejects, by the code of its error. */
-const statusByErrorCode: ReadonlyMap<string, number> = new Map([['HPE_HEADER_OVERFLOW', 431], [requestOverheadCode.head, 431], ['ERR_HTTP_REQUEST_TIMEOUT', 408]]);
-
 /** HTTP server that reads requests of callers and passes them to the forwarder. */
 export class CallerServer implements Disposable {
 	private readonly _server: Server;
@@ -71,9 +67,9 @@
 		});
 		this._guard = new RequestGuard(this._server, new SystemClock());
 		this._connections = new CallerConnections(this._server);
-		this._server.on('clientError', (error: Error & {code?: string}, socket: Socket) => {
+		this._server.on('clientError', (error: Error, socket: Socket) => {
 			this._onRejected.fire(error);
-			this._connections.reject(socket, statusByErrorCode.get(error.code ?? '') ?? badRequest);
+			this._connections.reject(socket, rejectionStatus(error));
 		});
 		// Each route has its own timeout.
 		this._server.requestTimeout = 0;
--- a/src/daemon/http-server.ts
+++ b/src/daemon/http-server.ts
@@ -1,28 +1,42 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {type AddressInfo} from 'node:net';
+import {type AddressInfo, type Socket} from 'node:net';
 import {type Disposable} from '../common/base/disposable.js';
 import {RefusalError} from '../common/entry/refusal-error.js';
+import {RequestGuard} from '../node/guarded-requests.js';
+import {SystemClock} from '../node/system-clock.js';
 import {breakResponse} from './break-response.js';
+import {CallerConnections} from './caller-connections.js';
 import {asRefusal, sendRefusal} from './http-error.js';
 import {type ListenAddress} from './listen-address.js';
+import {rejectionStatus} from './rejection-status.js';
 
 /** Handles a request. An error that it throws is sent as a refusal unless the response has started. */
 export type HttpHandler = (req: IncomingMessage, res: ServerResponse, url: URL) => Promise<void>;
 
 /** Time in milliseconds for which an idle keep-alive connection stays open. */
 const keepAliveMs = 30_000;
+/** Bytes of a refused body that are read, so that its caller gets to the refusal. */
+const maxDiscardedBytes = 256 * 1024;
 
 /** An HTTP server that can be drained. */
 export class HttpServer implements Disposable {
 	private readonly _server: Server;
+	private readonly _connections: CallerConnections;
+	private readonly _guard: RequestGuard;
 	private _handler: HttpHandler | undefined;
 	private readonly _open = new Set<ServerResponse>();
 	private _isDraining = false;
 
 	constructor() {
 		this._server = createServer((req, res) => {
+			if (!this._connections.add(req.socket, res)) {
+				// The connection is about to close, so that no answer can be sent.
+				req.resume();
+				return;
+			}
+
 			this._open.add(res);
 			res.once('close', () => {
 				this._open.delete(res);
@@ -33,6 +47,11 @@
 
 			void this._handle(req, res);
 		});
+		this._guard = new RequestGuard(this._server, new SystemClock());
+		this._connections = new CallerConnections(this._server);
+		this._server.on('clientError', (error: Error, socket: Socket) => {
+			this._connections.reject(socket, rejectionStatus(error));
+		});
 		this._server.keepAliveTimeout = keepAliveMs;
 		// Deadlines come from the service documents, so Node's own timeout must not end long streams.
 		this._server.requestTimeout = 0;
@@ -65,6 +84,7 @@
 	}
 
 	dispose(): void {
+		this._guard.dispose();
 		this._server.close();
 		for (const res of this._open) {
 			breakResponse(res, res.headersSent && !res.chunkedEncoding);
@@ -86,12 +106,23 @@
 			} else {
 				sendRefusal(res, asRefusal(error));
 				// Discards the rest of the body, because some callers read the refusal only after they have sent all of it.
-				req.resume();
+				discardBody(req);
 			}
 		}
 	}
 }
 
+/** Reads the rest of a body, and resets the connection when it is larger than any useful caller sends. */
+function discardBody(req: IncomingMessage): void {
+	let bytes = 0;
+	req.on('data', (chunk: Uint8Array) => {
+		bytes += chunk.length;
+		if (bytes > maxDiscardedBytes) {
+			req.socket.resetAndDestroy();
+		}
+	});
+}
+
 function parseUrl(text: string): URL {
 	try {
 		return new URL(text, 'http://localhost');
--- a/src/daemon/read-body.ts
+++ b/src/daemon/read-body.ts
@@ -9,6 +9,11 @@
 @throws RefusalError when the body has more than `maxBytes`, and leaves the rest of it unread; or when it ends early.
 */
 export async function readBody(req: IncomingMessage, maxBytes: number, encoding: BufferEncoding = 'utf8'): Promise<string> {
+	const tooLarge = () => new RefusalError('body-too-large', `The body has more than ${maxBytes} bytes.`, {status: 413});
+	if (Number(req.headers['content-length'] ?? 0) > maxBytes) {
+		throw tooLarge();
+	}
+
 	return new Promise((resolve, reject) => {
 		const body = new ByteBuffer();
 		const removeListeners = () => {
@@ -21,7 +26,7 @@
 		const onData = (chunk: Uint8Array) => {
 			if (body.length + chunk.length > maxBytes) {
 				removeListeners();
-				reject(new RefusalError('body-too-large', `The body has more than ${maxBytes} bytes.`, {status: 413}));
+				reject(tooLarge());
 				return;
 			}
 
--- a/src/testing/endless-callers.ts
+++ b/src/testing/endless-callers.ts
@@ -21,6 +21,7 @@
 	'zeros of a chunk size': [chunkedHead, '0'.repeat(16 * 1024)],
 	trailers: [`${chunkedHead}0\r\n`, 'x-a: b\r\n'.repeat(2000)],
 	'trailers without a value': [`${chunkedHead}0\r\n`, 'a:\r\n'.repeat(4000)],
+	'a body beyond its limit': ['POST /a/x HTTP/1.1\r\nhost: h\r\ncontent-length: 9000000000000000\r\n\r\n', 'x'.repeat(16 * 1024)],
 	'bytes after a request': [`${requestHead}\r\n`, '\0'.repeat(16 * 1024)],
 } as const;
 export type EndlessRequest = keyof typeof endlessRequests;
