Use the limits of answers for ratings and orders, too

What callers saw: a rating service or an engine that answers a call with bytes without an end takes the time of the host until the timeout of the call.

Cause: both clients opened their connections without timedConnector, so that neither AnswerScanner nor ReadPacer covered them, and the connect timeout of the HTTP client has a resolution of half a second.

Change: both use timedConnector.

--- a/src/node/http-order-client.ts
+++ b/src/node/http-order-client.ts
@@ -4,13 +4,14 @@
 import {type OrderClient} from '../common/orders/order-client.js';
 import {OrderError} from '../common/orders/order-error.js';
 import {orderPath, engineHeaders} from './engine-protocol.js';
+import {timedConnector} from './timed-connector.js';
 
 /** Timeout in milliseconds. An engine acknowledges an order immediately and carries it out afterwards. */
 const timeoutMs = 3000;
 
 /** Sends orders to engines over HTTP: `POST /v1/orders` with the fencing number in a header. */
 export class HttpOrderClient implements OrderClient, Disposable {
-	private readonly _agent = new Agent({headersTimeout: timeoutMs, bodyTimeout: timeoutMs, connect: {timeout: timeoutMs}});
+	private readonly _agent = new Agent({headersTimeout: timeoutMs, bodyTimeout: timeoutMs, connect: timedConnector(timeoutMs)});
 
 	/** `_secret` is sent with each order, for engines that authenticate the sender. */
 	constructor(private readonly _secret: string | undefined) {}
--- a/src/node/http-rating-client.ts
+++ b/src/node/http-rating-client.ts
@@ -3,6 +3,7 @@
 import {AppError} from '../common/base/app-error.js';
 import {type Disposable} from '../common/base/disposable.js';
 import {type RatingClient, type RatingRequest} from '../common/routing/rating-client.js';
+import {timedConnector} from './timed-connector.js';
 
 /** The rating service returned no rating. */
 export class RatingError extends AppError {
@@ -17,7 +18,7 @@
 
 /** Requests ratings over HTTP: `POST /v1/ratings`, answered with `{"rating": 0…1}`. */
 export class HttpRatingClient implements RatingClient, Disposable {
-	private readonly _agent = new Agent({headersTimeout: timeoutMs, bodyTimeout: timeoutMs});
+	private readonly _agent = new Agent({connect: timedConnector(timeoutMs), headersTimeout: timeoutMs, bodyTimeout: timeoutMs});
 	private _consecutiveFailures = 0;
 	private _lastFailureAt = 0;
 
