Join the limits of requests and those of answers

ReadPacer has rates by kind, and waiting connections by address, pauses and turns of the event loop for both kinds. It grants whole turns only, because a part of one may be less than the cost of a line. The order and rating clients have the timeouts and the limit of the size.

--- a/src/node/guarded-reads.ts
+++ b/src/node/guarded-reads.ts
@@ -71,7 +71,7 @@
 		returned -= known;
 		try {
 			const followed = scanner.follow(bytes.subarray(known), turns.available);
-			turns.take(followed.chunks);
+			turns.take(followed.units);
 			held?.set(scanner.memory);
 			if (socket.destroyed) {
 				// The part was given up.
--- a/src/node/http-order-client.ts
+++ b/src/node/http-order-client.ts
@@ -13,7 +13,9 @@
 
 /** Sends orders to engines over HTTP: `POST /v1/orders` with the fencing number in a header. */
 export class HttpOrderClient implements OrderClient, Disposable {
-	private readonly _agent = new Agent({connect: timedConnector(timeoutMs), maxResponseSize: maxAnswerBytes});
+	private readonly _agent = new Agent({
+		connect: timedConnector(timeoutMs), headersTimeout: timeoutMs, bodyTimeout: timeoutMs, maxResponseSize: maxAnswerBytes,
+	});
 
 	/** `_secret` is sent with each order, for engines that authenticate the sender. */
 	constructor(private readonly _secret: string | undefined) {}
--- a/src/node/http-rating-client.ts
+++ b/src/node/http-rating-client.ts
@@ -20,7 +20,10 @@
 
 /** Requests ratings over HTTP: `POST /v1/ratings`, answered with `{"rating": 0…1}`. */
 export class HttpRatingClient implements RatingClient, Disposable {
-	private readonly _agent = new Agent({connect: timedConnector(timeoutMs), maxResponseSize: maxAnswerBytes});
+	private readonly _agent = new Agent({
+		connect: timedConnector(timeoutMs), headersTimeout: timeoutMs, bodyTimeout: timeoutMs, maxResponseSize: maxAnswerBytes,
+	});
+
 	private _consecutiveFailures = 0;
 	private _lastFailureAt = 0;
 
--- a/src/node/read-pacer.ts
+++ b/src/node/read-pacer.ts
@@ -4,14 +4,23 @@
 import {Emitter} from '../common/base/emitter.js';
 import {type Event} from '../common/base/event.js';
 
-/** Chunks a second, and at once, that a connection takes whatever the others take: those of a stream of events. */
-const ownRate = 100;
-const ownBurst = 64;
-/** Chunks a second, and at once, that all connections take beyond their own. A chunk of one byte costs about 4 µs. */
-const sharedRate = 40_000;
-const sharedBurst = 2000;
-/** Chunks that a connection takes before the next one in the queue. */
-const turnChunks = 256;
+/** Rates at which connections may use the processor, in units of the cost of a small chunk. */
+export interface ReadRates {
+	/** Units a second, and at once, that a connection takes whatever the others take: those of a stream of events. */
+	readonly ownRate: number;
+	readonly ownBurst: number;
+	/** Units a second, and at once, that all connections take beyond their own. */
+	readonly sharedRate: number;
+	readonly sharedBurst: number;
+	/** Units that a connection takes before the next one in the queue; at least the highest cost of a line, at most `sharedBurst`. */
+	readonly turn: number;
+}
+
+/** Rates of the answers of servers: a chunk of one byte costs about 4 µs. */
+const answerRates: ReadRates = {
+	ownRate: 100, ownBurst: 64, sharedRate: 40_000, sharedBurst: 2000, turn: 256,
+};
+
 /** Time in milliseconds that leaves the event loop to others between two turns. */
 const minWaitMs = 1;
 /** Time in milliseconds after which no further connection gets a turn before the event loop has served others. */
@@ -34,8 +43,8 @@
 	private readonly _late = new Set<ReadTurns>();
 	private _immediate: NodeJS.Immediate | undefined;
 
-	constructor(private readonly _clock: Clock) {
-		this._shared = new TokenBucket(sharedRate, sharedBurst, _clock.now());
+	constructor(private readonly _clock: Clock, private readonly _rates = answerRates) {
+		this._shared = new TokenBucket(_rates.sharedRate, _rates.sharedBurst, _clock.now());
 	}
 
 	/** Raised with the address of a peer once for each connection that is slowed down. */
@@ -45,8 +54,8 @@
 
 	/** Begins to count the chunks of a connection to an address. `resume` is called when it may read again after `wait`. */
 	open(address: string, resume: () => void): ReadTurns {
-		return new ReadTurns(this._clock, {
-			available: () => this._waiting.size === 0 ? Math.min(turnChunks, this._shared.available(this._clock.now())) : 0,
+		return new ReadTurns(this._clock, new TokenBucket(this._rates.ownRate, this._rates.ownBurst, this._clock.now()), {
+			available: () => this._waiting.size === 0 ? Math.min(this._rates.turn, this._shared.available(this._clock.now())) : 0,
 			take: chunks => {
 				this._shared.take(chunks, this._clock.now());
 			},
@@ -65,6 +74,7 @@
 				if (queue?.delete(turns) && queue.size === 0) {
 					this._waiting.delete(address);
 				}
+
 				this._late.delete(turns);
 			},
 			maxBytes: () => this._isLoopTurnOver() ? lateReadBytes : Number.POSITIVE_INFINITY,
@@ -110,7 +120,7 @@
 	}
 
 	private _schedule(minDelayMs = minWaitMs): void {
-		this._timer ??= this._clock.setTimer(Math.max(minDelayMs, this._shared.waitMs(turnChunks, this._clock.now())), () => {
+		this._timer ??= this._clock.setTimer(Math.max(minDelayMs, this._shared.waitMs(this._rates.turn, this._clock.now())), () => {
 			this._resumeWaiting();
 		});
 	}
@@ -122,8 +132,8 @@
 			// An address with more connections, and a connection with more chunks, waits again, behind the others and for the next time.
 			const waiting = [...this._waiting];
 			for (const [address, queue] of waiting) {
-				const shared = this._shared.available(startedAt + elapsedMs);
-				if (shared < 1 || elapsedMs >= maxResumeMs) {
+				// A part of a turn may be less than the cost of a line.
+				if (this._shared.available(startedAt + elapsedMs) < this._rates.turn || elapsedMs >= maxResumeMs) {
 					break;
 				}
 
@@ -139,7 +149,7 @@
 					this._waiting.set(address, queue);
 				}
 
-				turns.resume(Math.min(turnChunks, shared));
+				turns.resume(this._rates.turn);
 				elapsedMs = this._clock.now() - startedAt;
 			}
 		} finally {
@@ -165,15 +175,12 @@
 
 /** The chunks of one connection. */
 export class ReadTurns implements Disposable {
-	private readonly _own: TokenBucket;
 	/** Shared chunks that this connection may take in its present turn. */
 	private _granted = 0;
 	private _isWaiting = false;
 	private _isSlowed = false;
 
-	constructor(private readonly _clock: Clock, private readonly _shared: SharedReads, private readonly _resume: () => void) {
-		this._own = new TokenBucket(ownRate, ownBurst, _clock.now());
-	}
+	constructor(private readonly _clock: Clock, private readonly _own: TokenBucket, private readonly _shared: SharedReads, private readonly _resume: () => void) {}
 
 	/** Whether the connection may not read. */
 	get isWaiting(): boolean {
