Let answers in small chunks take 100,000 chunks a second of a host

What callers saw: nothing yet; a play of sound servers with bodies of 1 MiB in chunks of 64 bytes, 5 a second, took 4.4 s for each instead of 0.03 s, because 40,000 chunks a second are less than they send.

Change: 100,000 a second, about 40 % of the time of the event loop. Turns of the event loop bound its pauses, not this rate.

Checked: held-event-loop.test.ts, held-by-daemon-callers.test.ts, read-pacer.test.ts and loop-turns.test.ts pass. Not measured again: the bodies in chunks of 64 bytes.

--- a/src/node/read-pacer.ts
+++ b/src/node/read-pacer.ts
@@ -18,7 +18,7 @@
 
 /** Rates of the answers of servers: a chunk of one byte costs about 4 µs. */
 const answerRates: ReadRates = {
-	ownRate: 100, ownBurst: 64, sharedRate: 40_000, sharedBurst: 2000, turn: 256,
+	ownRate: 100, ownBurst: 64, sharedRate: 100_000, sharedBurst: 2000, turn: 256,
 };
 
 /** Time in milliseconds that leaves the event loop to others between two turns. */
