--- a/src/daemon/open-heads.ts
+++ b/src/daemon/open-heads.ts
@@ -17,7 +17,7 @@
 	isBody: boolean;
 };
 
-/** Counts the bytes of request heads that are not complete. The HTTP parser reads the connections itself, without an event, so they are checked at intervals. */
+/** Counts the bytes of request heads that are not complete, at intervals. */
 export class OpenHeads implements Disposable {
 	private readonly _heads = new Map<Socket, OpenHead>();
 	private _timer: Disposable | undefined;
