--- a/src/node/read-pacer-streams.test.ts
+++ b/src/node/read-pacer-streams.test.ts
@@ -1,6 +1,5 @@
 import {expect, it} from 'vitest';
-import {type Clock} from '../common/base/clock.js';
-import {type Disposable} from '../common/base/disposable.js';
+import {BusyClock} from '../testing/busy-clock.js';
 import {ReadPacer, type ReadTurns} from './read-pacer.js';
 
 const chunkMs = 0.004;
@@ -9,46 +8,6 @@
 /** Shortest time after which a server counts as silent. */
 const maxGapMs = 1000;
 
-/** Clock of a processor that is busy with chunks. */
-class BusyClock implements Clock {
-	private _now = 0;
-	private readonly _timers = new Set<{readonly due: number; readonly callback: () => void}>();
-
-	now(): number {
-		return this._now;
-	}
-
-	wallTime(): number {
-		return this._now;
-	}
-
-	setTimer(delayMs: number, callback: () => void): Disposable {
-		const timer = {due: this._now + Math.max(1, delayMs), callback};
-		this._timers.add(timer);
-		return {
-			dispose: () => {
-				this._timers.delete(timer);
-			},
-		};
-	}
-
-	work(ms: number): void {
-		this._now += ms;
-	}
-
-	/** Runs the next timer. */
-	run(): void {
-		const [timer] = [...this._timers].sort((a, b) => a.due - b.due);
-		if (!timer) {
-			return;
-		}
-
-		this._timers.delete(timer);
-		this._now = Math.max(this._now, timer.due);
-		timer.callback();
-	}
-}
-
 /** A connection on which chunks arrive at a rate. */
 class Stream {
 	longestGapMs = 0;
@@ -106,7 +65,7 @@
 
 	arrive();
 	while (clock.now() < durationMs) {
-		clock.run();
+		clock.runTimer();
 	}
 
 	expect(Math.max(...sound.map(stream => stream.longestGapMs))).toBeLessThan(maxGapMs);
--- a/src/node/read-pacer.test.ts
+++ b/src/node/read-pacer.test.ts
@@ -1,6 +1,5 @@
 import {expect, it} from 'vitest';
-import {type Clock} from '../common/base/clock.js';
-import {type Disposable} from '../common/base/disposable.js';
+import {BusyClock} from '../testing/busy-clock.js';
 import {ManualClock} from '../testing/manual-clock.js';
 import {ReadPacer, type ReadRates, type ReadTurns} from './read-pacer.js';
 
@@ -8,47 +7,6 @@
 /** Half of the shortest time after which a server counts as silent. */
 const maxSoundMs = 500;
 
-/** Clock of a processor that is busy with chunks; timers run on request. */
-class BusyClock implements Clock {
-	private _now = 0;
-	private readonly _timers: Array<{readonly due: number; readonly callback: () => void}> = [];
-
-	now(): number {
-		return this._now;
-	}
-
-	wallTime(): number {
-		return this._now;
-	}
-
-	setTimer(delayMs: number, callback: () => void): Disposable {
-		const timer = {due: this._now + Math.max(1, delayMs), callback};
-		this._timers.push(timer);
-		return {
-			dispose: () => {
-				const index = this._timers.indexOf(timer);
-				if (index !== -1) {
-					this._timers.splice(index, 1);
-				}
-			},
-		};
-	}
-
-	work(ms: number): void {
-		this._now += ms;
-	}
-
-	/** Runs the next timer. @returns how long it held the processor, in milliseconds. */
-	runTimer(): number {
-		this._timers.sort((a, b) => a.due - b.due);
-		const {due, callback} = this._timers.shift()!;
-		this._now = Math.max(this._now, due);
-		const startedAt = this._now;
-		callback();
-		return this._now - startedAt;
-	}
-}
-
 /** Opens connections that always have more chunks, each of which takes `chunkMs` to process. */
 function openEndless(pacer: ReadPacer, clock: BusyClock, connections: number, chunkMs: number): {readonly taken: number[]} {
 	const taken: number[] = [];
