Count incomplete request heads where they are scanned

Cause: two mechanisms followed the heads of requests. OpenHeads took the bytes of each connection from the socket each 50 ms and could not tell a second head from the body before it; RequestScanner knows both.

Change: RequestGuard counts what its scanner has of an incomplete head, and reads that wait for their turn, as guardReads does for answers. OpenHeads and its timer over all connections are removed. Its tests are kept, on real connections, with one more row for a head behind an open request.

Ruled out on the way: counting the scanned head only.

--- a/src/daemon/caller-server.ts
+++ b/src/daemon/caller-server.ts
@@ -20,7 +20,6 @@
 import {HttpCallerSink} from './http-caller-sink.js';
 import {listen} from './listen.js';
 import {type ListenAddress} from './listen-address.js';
-import {OpenHeads} from './open-heads.js';
 import {rejectionStatus} from './rejection-status.js';
 
 /** Largest request head in bytes that the HTTP parser accepts; the configured limit is checked afterwards. */
@@ -45,7 +44,6 @@
 	private readonly _onError = new Emitter<Error>();
 	private readonly _onRejected = new Emitter<Error>();
 	private readonly _guard: RequestGuard;
-	private readonly _heads = new OpenHeads(new SystemClock(), socket => this._hold(socket, heldKind.requestHead));
 	private _limits: CallerLimits | undefined;
 	private _isClosed = false;
 	private readonly _open = new Set<HttpCallerSink>();
@@ -59,10 +57,6 @@
 			}
 
 			const {socket} = req;
-			this._heads.complete(socket);
-			req.once('close', () => {
-				this._heads.expect(socket);
-			});
 			const [body, answer] = [this._hold(socket, heldKind.request), this._hold(socket, heldKind.unsentAnswer)];
 			const sink = new HttpCallerSink(res, this._codec, unsent => {
 				answer.set(unsent);
@@ -75,11 +69,8 @@
 			});
 			this._receive(req, res, sink, body);
 		});
-		this._guard = new RequestGuard(this._server, new SystemClock());
+		this._guard = new RequestGuard(this._server, new SystemClock(), socket => this._hold(socket, heldKind.requestHead));
 		this._connections = new CallerConnections(this._server);
-		this._server.on('connection', (socket: Socket) => {
-			this._heads.add(socket);
-		});
 		this._server.on('clientError', (error: Error, socket: Socket) => {
 			this._onRejected.fire(error);
 			this._connections.reject(socket, rejectionStatus(error));
@@ -151,7 +142,6 @@
 
 	dispose(): void {
 		this._guard.dispose();
-		this._heads.dispose();
 		this._server.close();
 		this._server.closeAllConnections();
 	}
--- a/src/node/guarded-requests.test.ts
+++ b/src/node/guarded-requests.test.ts
@@ -3,6 +3,7 @@
 import {type AddressInfo, connect, type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {afterEach, expect, it} from 'vitest';
+import {HeldBytes, type HeldPart} from '../common/base/held-bytes.js';
 import {RequestGuard} from './guarded-requests.js';
 import {SystemClock} from './system-clock.js';
 
@@ -13,9 +14,9 @@
 	}
 });
 
-async function start(handle: (req: IncomingMessage, res: ServerResponse) => void) {
+async function start(handle: (req: IncomingMessage, res: ServerResponse) => void, hold?: (socket: Socket) => HeldPart) {
 	const server = createServer(handle);
-	const guard = new RequestGuard(server, new SystemClock());
+	const guard = new RequestGuard(server, new SystemClock(), hold);
 	const errors: Error[] = [];
 	server.on('clientError', error => {
 		errors.push(error);
@@ -121,3 +122,60 @@
 	expect(read).toBeLessThan(256 * 1024);
 	expect(errors).toHaveLength(expected);
 });
+
+const openHead = `GET / HTTP/1.1\r\nhost: h\r\nx-a: ${'b'.repeat(1000)}`;
+const openBody = `POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 5000\r\n\r\n${'b'.repeat(1000)}`;
+const whole = 'GET / HTTP/1.1\r\nhost: h\r\n\r\n';
+
+// Guards against heads that hold memory which nothing counts, and against bodies and idle connections that count as heads.
+it.each([
+	{name: 'a head that is not complete', writes: [openHead], isCounted: true},
+	{name: 'a head that is complete', writes: [openHead, '\r\n\r\n'], isCounted: false},
+	{name: 'a body', writes: [openBody, 'b'.repeat(1000)], isCounted: false},
+	{name: 'an idle connection', writes: [openBody, 'b'.repeat(4000)], isCounted: false},
+	{name: 'the head of a second request', writes: [whole, openHead], isCounted: true},
+	{name: 'the head of a second request in the same read', writes: [whole + openHead], isCounted: true},
+	{
+		name: 'a connection that has closed', writes: [openHead], isClosed: true, isCounted: false,
+	},
+])('counts $name: $isCounted', async ({writes, isClosed, isCounted}) => {
+	const held = new HeldBytes();
+	const {port} = await start((req, res) => {
+		req.resume();
+		req.once('end', () => {
+			res.end();
+		});
+	}, peer => held.open(peer, 'caller', () => undefined));
+	const {socket} = connectTo(port);
+	for (const text of writes) {
+		socket.write(text);
+		await delay(50); // eslint-disable-line no-await-in-loop -- each write arrives as a read of its own
+	}
+
+	if (isClosed) {
+		expect(held.total).toBeGreaterThan(0);
+		socket.resetAndDestroy();
+		await delay(50);
+	}
+
+	expect(held.total > 0).toBe(isCounted);
+});
+
+// Guards against a caller with a small head that loses its connection because of others with large ones.
+it('gives up the connection with the largest head', async () => {
+	const held = new HeldBytes(100_000);
+	const {port} = await start(() => undefined, peer => held.open(peer, 'caller', () => {
+		peer.resetAndDestroy();
+	}));
+	const callers = [1000, 40_000, 60_000].map(bytes => ({bytes, ...connectTo(port)}));
+	const lost: number[] = [];
+	for (const {bytes, socket} of callers) {
+		socket.once('close', () => {
+			lost.push(bytes);
+		});
+		socket.write(`GET / HTTP/1.1\r\nx-a: ${'b'.repeat(bytes - 21)}`);
+		await delay(50); // eslint-disable-line no-await-in-loop -- one after the other
+	}
+
+	await expect.poll(() => lost).toEqual([60_000]);
+});
--- a/src/node/guarded-requests.ts
+++ b/src/node/guarded-requests.ts
@@ -4,6 +4,7 @@
 import {type Clock} from '../common/base/clock.js';
 import {type Disposable} from '../common/base/disposable.js';
 import {type Event} from '../common/base/event.js';
+import {type HeldPart} from '../common/base/held-bytes.js';
 import {ReadPacer, type ReadRates, type ReadTurns} from './read-pacer.js';
 import {RequestScanner} from './request-scanner.js';
 
@@ -19,12 +20,16 @@
 export class RequestGuard implements Disposable {
 	private readonly _pacer: ReadPacer;
 
-	/** Requests that exceed a limit are reported as `clientError`, like those that the server cannot parse. */
-	constructor(server: Server, clock: Clock) {
+	/**
+	Requests that exceed a limit are reported as `clientError`, like those that the server cannot parse.
+
+	@param hold opens a part of a connection for the heads of its requests that are not complete.
+	*/
+	constructor(server: Server, clock: Clock, hold?: (socket: Socket) => HeldPart) {
 		this._pacer = new ReadPacer(clock, requestRates);
 		const connections = new WeakMap<Socket, GuardedConnection>();
 		server.on('connection', (socket: Socket) => {
-			connections.set(socket, new GuardedConnection(socket, this._pacer, error => {
+			connections.set(socket, new GuardedConnection(socket, this._pacer, hold?.(socket), error => {
 				server.emit('clientError', error, socket);
 			}));
 		});
@@ -53,6 +58,8 @@
 	private readonly _emitEnd: () => void;
 	/** Bytes that were read from the connection, and not handed over yet. */
 	private _unread: Uint8Array | undefined;
+	/** Size of the last read; its memory is held until all of it was handed over. */
+	private _readBytes = 0;
 	private _isPaused = false;
 	private _isDelivering = false;
 	/** Whether the connection is paused because it has unread bytes. */
@@ -61,13 +68,14 @@
 	/** Whether the caller has ended the connection after bytes that are unread. */
 	private _hasEnded = false;
 
-	constructor(private readonly _socket: Socket, pacer: ReadPacer, private readonly _onOverhead: (error: Error) => void) {
+	constructor(private readonly _socket: Socket, pacer: ReadPacer, private readonly _heldHead: HeldPart | undefined, private readonly _onOverhead: (error: Error) => void) {
 		this._turns = pacer.open(_socket.remoteAddress ?? '', () => {
 			this._deliverUnread();
 		});
 		_socket.once('close', () => {
 			this._unread = undefined;
 			this._turns.dispose();
+			this._heldHead?.dispose();
 		});
 		this._pause = _socket.pause.bind(_socket);
 		this._resume = _socket.resume.bind(_socket);
@@ -124,6 +132,7 @@
 		if (!this._isGivenUp) {
 			this._scanner.beginRead();
 			this._unread = bytes;
+			this._readBytes = bytes.length;
 			this._deliverUnread();
 		}
 	}
@@ -163,6 +172,12 @@
 			const {bytes, units} = this._scanner.follow(unread, this._turns.available);
 			this._turns.take(units);
 			this._unread = bytes < unread.length ? unread.subarray(bytes) : undefined;
+			this._heldHead?.set(this._scanner.headMemory + (this._unread ? this._readBytes : 0));
+			if (this._socket.destroyed) {
+				// The part was given up.
+				return unread.subarray(0, 0);
+			}
+
 			if (this._unread) {
 				this._turns.wait();
 			}
--- a/src/node/message-scanner.ts
+++ b/src/node/message-scanner.ts
@@ -124,6 +124,11 @@
 		return {bytes: this._overheadBytes, lines: this._lines};
 	}
 
+	/** Whether the next byte belongs to a head, or comes before one. */
+	protected get isInHead(): boolean {
+		return this._state === framingState.head;
+	}
+
 	/** Follows no more of the bytes. */
 	protected stop(): void {
 		this._hasStopped = true;
--- a/src/node/request-scanner.ts
+++ b/src/node/request-scanner.ts
@@ -8,6 +8,8 @@
 /** Lines of a head that cost nothing, and the number of further lines that cost a unit together. */
 const freeLines = 64;
 const linesPerUnit = 8;
+/** Memory that the HTTP server takes for each byte of a head, about. */
+const parsedFactor = 2;
 
 /** Error codes of requests that were given up for what they have in their head, and after it. */
 export const requestOverheadCode = {head: 'REQUEST_HEAD_OVERHEAD', body: 'REQUEST_BODY_OVERHEAD'} as const;
@@ -26,6 +28,11 @@
 		super(limits);
 	}
 
+	/** Memory in bytes that the HTTP server holds of a head that is not complete, about. */
+	get headMemory(): number {
+		return this.isInHead ? this.overhead.bytes * parsedFactor : 0;
+	}
+
 	/** Begins to follow the bytes of a read; the first request in them costs nothing. */
 	beginRead(): void {
 		this._isFirst = true;
