--- a/src/node/answer-ends.test.ts
+++ b/src/node/answer-ends.test.ts
@@ -1,11 +1,10 @@
-import {
-	createServer, type AddressInfo, type Server, type Socket,
-} from 'node:net';
+import {type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {afterEach, expect, it} from 'vitest';
 import {BackendFormat} from '../../platform/backend-format.js';
 import {nullLogger} from '../common/base/null-logger.js';
 import {type AttemptHandle} from '../common/forwarding/backend-port.js';
+import {RawServer} from '../testing/raw-server.js';
 import {HttpBackendPort} from './http-backend-port.js';
 
 const text = 'x'.repeat(40_000);
@@ -26,33 +25,22 @@
 	return `${data.length.toString(16)}\r\n${data}\r\n`;
 }
 
-let server: Server | undefined;
+let server: RawServer | undefined;
 let port: HttpBackendPort | undefined;
-const sockets = new Set<Socket>();
 
 afterEach(() => {
 	port?.dispose();
-	for (const socket of sockets) {
-		socket.destroy();
-	}
-
-	sockets.clear();
-	server?.close();
+	server?.dispose();
 });
 
 async function listen(onRequest: (socket: Socket) => void): Promise<string> {
-	server = createServer(socket => {
-		sockets.add(socket);
-		socket.on('error', () => undefined);
-		socket.once('data', () => {
+	server = await RawServer.open((socket, request) => {
+		if (request === 1) {
 			onRequest(socket);
-		});
-	});
-	await new Promise<void>(resolve => {
-		server!.listen(0, '127.0.0.1', resolve);
+		}
 	});
 	port = new HttpBackendPort(new BackendFormat(), nullLogger);
-	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	return server.address;
 }
 
 /** Sends a request. Its reader stops after each part for `pauseMs`. @returns the number of bytes of the answer, and how it ended. */
--- a/src/node/guarded-reads.test.ts
+++ b/src/node/guarded-reads.test.ts
@@ -1,41 +1,22 @@
-import {
-	createServer, type AddressInfo, type Server, type Socket,
-} from 'node:net';
+import {type Socket} from 'node:net';
 import {afterEach, expect, it} from 'vitest';
 import {BackendFormat} from '../../platform/backend-format.js';
 import {nullLogger} from '../common/base/null-logger.js';
+import {RawServer} from '../testing/raw-server.js';
 import {HttpBackendPort} from './http-backend-port.js';
 
-let server: Server | undefined;
+let server: RawServer | undefined;
 let port: HttpBackendPort | undefined;
-let address = '';
-const sockets = new Set<Socket>();
 
 afterEach(() => {
 	port?.dispose();
-	for (const socket of sockets) {
-		socket.destroy();
-	}
-
-	sockets.clear();
-	server?.close();
+	server?.dispose();
 });
 
 /** Calls back for each request of a connection, with its number. */
 async function listen(onRequest: (socket: Socket, request: number) => void): Promise<void> {
-	server = createServer(socket => {
-		let requests = 0;
-		sockets.add(socket);
-		socket.on('error', () => undefined);
-		socket.on('data', () => {
-			onRequest(socket, ++requests);
-		});
-	});
-	await new Promise<void>(resolve => {
-		server!.listen(0, '127.0.0.1', resolve);
-	});
+	server = await RawServer.open(onRequest);
 	port = new HttpBackendPort(new BackendFormat(), nullLogger);
-	address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
 /** Sends a request. @returns 'end', or the reason of the failure. */
@@ -44,7 +25,7 @@
 		port!.send({
 			method, target: '/', headers: ['host', 'h'], body: undefined,
 		}, {
-			requestId: 'q', serverId: 's', address, maxConnections: 1, remainingMs: 5000, customer: undefined, model: undefined, priority: undefined, resumeAfter: undefined, repetition: 'idempotent',
+			requestId: 'q', serverId: 's', address: server!.address, maxConnections: 1, remainingMs: 5000, customer: undefined, model: undefined, priority: undefined, resumeAfter: undefined, repetition: 'idempotent',
 		}, {
 			mayStart: () => true,
 			onHead: () => undefined,
@@ -80,7 +61,7 @@
 			accepted!.resetAndDestroy();
 		}
 	});
-	expect(sockets.size).toBe(1);
+	expect(server!.connections).toBe(1);
 	expect(ending).not.toBe('end');
 });
 
@@ -93,7 +74,7 @@
 		expect(await send(method)).toBe('end'); // eslint-disable-line no-await-in-loop -- one connection
 	}
 
-	expect(sockets.size).toBe(1);
+	expect(server!.connections).toBe(1);
 });
 
 // Guards against an answer that is lost because of the bytes after it, such as the body that a server sends with an answer to HEAD.
