Add evacuations of availability zones and limits for cold servers

Evacuations are orders in the control log (evacuate-zone, end-evacuation) with the revision of the zone's last order, so that a late copy does not undo a later one. Entry hosts leave out the servers of evacuated zones when they choose a server and again when a request is written; the lease bounds how long an older view is used. Servers are marked as cold in the control state and the leader takes the marks back.

Type-checked; not tested yet.

--- a/src/common/consensus/log-member.ts
+++ b/src/common/consensus/log-member.ts
@@ -98,6 +98,10 @@
 		return this._driver.core.leader?.replication.commandVersion ?? 1;
 	}
 
+	get repliedCommandVersion(): number {
+		return this._driver.core.leader?.replication.repliedCommandVersion ?? 1;
+	}
+
 	/** State of this member for display; on the leader also the lag of all members. */
 	get status(): GroupStatus {
 		const {state, leader} = this._driver.core;
--- a/src/common/consensus/replicated-log.ts
+++ b/src/common/consensus/replicated-log.ts
@@ -13,6 +13,8 @@
 	readonly commitIndex: number;
 	/** Highest version of commands that all members apply, as known to the leader; 1 on other members. */
 	readonly commandVersion: number;
+	/** The same for the members that have replied to this leader; those that are down are left out. 1 on other members. */
+	readonly repliedCommandVersion: number;
 	readonly onRoleChange: Event<Role>;
 	readonly onApplied: Event<AppliedEntry<Command>>;
 	/**
--- a/src/common/consensus/replication.ts
+++ b/src/common/consensus/replication.ts
@@ -31,6 +31,12 @@
 		return Math.min(commandVersion, ...log.members.map(({id}) => id === self ? commandVersion : this._progress.get(id)?.commandVersion ?? 1));
 	}
 
+	/** Highest version of commands that all members apply which have replied to this leader. */
+	get repliedCommandVersion(): number {
+		const versions = [...this._progress.values()].filter(({lastContactAt}) => lastContactAt > -Infinity).map(({commandVersion}) => commandVersion);
+		return Math.min(this._state.commandVersion, ...versions);
+	}
+
 	progressOf(id: string): Progress | undefined {
 		return this._progress.get(id);
 	}
--- a/src/common/control/backend-server.ts
+++ b/src/common/control/backend-server.ts
@@ -46,4 +46,8 @@
 	readonly release?: string;
 	/** Whether it is draining and takes no new work; absent means no. */
 	readonly isDraining?: boolean;
+	/** Time in milliseconds for which it stays cold after its announcement: it has just started and ends under its usual load. Absent when it is warm. */
+	readonly coldMs?: number;
+	/** Revision since which the control state marks it as cold; absent when it is warm. Never part of an announcement. */
+	readonly coldSince?: number;
 }
--- a/src/common/control/control-command.ts
+++ b/src/common/control/control-command.ts
@@ -137,6 +137,29 @@
 	readonly reason: string;
 }
 
+/** Orders that backend servers of an availability zone get no requests, or withdraws the order. Command version 3. */
+export interface ChangeEvacuation {
+	readonly type: 'evacuate-zone' | 'end-evacuation';
+	readonly zone: string;
+	/** Revision of the zone's last order that the receiving host had applied, 0 for none. A later order to the contrary keeps its effect. */
+	readonly base: number;
+	/** Time at the leader in Unix milliseconds, for display. */
+	readonly at: number;
+}
+
+/** A process of a backend server that the control state marks as cold since a revision. */
+export interface ColdServer {
+	readonly id: string;
+	readonly incarnation: number;
+	readonly coldSince: number;
+}
+
+/** Takes back the marks of cold backend servers. Command version 3. */
+export interface ServersWarm {
+	readonly type: 'servers-warm';
+	readonly servers: readonly ColdServer[];
+}
+
 /** Allocates the next fencing number, which is the index of this command. */
 export interface NextFencing {
 	readonly type: 'next-fencing';
@@ -145,4 +168,4 @@
 }
 
 /** Commands of the control log. */
-export type ControlCommand = SubmitDocument | RemoveDocument | WithdrawVersion | EntryJoined | EntryLeft | BackendJoined | BackendRemoved | Quarantine | QuarantinePart | QuarantineRequest | NextFencing | RolloutStep | BurnSums | ApplyRouting | ChangeRouting | StartServiceRollout | ServiceRolloutStep;
+export type ControlCommand = SubmitDocument | RemoveDocument | WithdrawVersion | EntryJoined | EntryLeft | BackendJoined | BackendRemoved | Quarantine | QuarantinePart | QuarantineRequest | NextFencing | RolloutStep | BurnSums | ApplyRouting | ChangeRouting | StartServiceRollout | ServiceRolloutStep | ChangeEvacuation | ServersWarm;
--- a/src/common/control/control-service.ts
+++ b/src/common/control/control-service.ts
@@ -9,6 +9,7 @@
 import {plainTextCodec, type TextCodec} from '../base/text-codec.js';
 import {checkDocument} from '../documents/parse-document.js';
 import {ControlCatchUp} from './control-catch-up.js';
+import {evacuationVersion} from './command-versions.js';
 import {type ControlCommand} from './control-command.js';
 import {CallerGoneError, CommandNotAllowedError} from './control-errors.js';
 import {ControlLeadership} from './control-leadership.js';
@@ -53,7 +54,7 @@
 }
 
 /** Commands that only the leader itself proposes. */
-const leaderCommands = new Set<ControlCommand['type']>(['entry-expired', 'backend-expired', 'next-fencing', 'rollout-step', 'burn-sums', 'service-rollout-step', 'backend-silent', 'quarantine-part', 'lift-part-quarantine', 'quarantine-request', 'lift-request-quarantine']);
+const leaderCommands = new Set<ControlCommand['type']>(['entry-expired', 'backend-expired', 'next-fencing', 'rollout-step', 'burn-sums', 'service-rollout-step', 'backend-silent', 'quarantine-part', 'lift-part-quarantine', 'quarantine-request', 'lift-request-quarantine', 'servers-warm']);
 
 /** Leader side of configuration, directory and leases. Runs on every voter and acts while that voter leads. */
 export class ControlService implements Disposable {
@@ -282,6 +283,10 @@
 			return this._routingProposals.propose(command);
 		}
 
+		if ((command.type === 'evacuate-zone' || command.type === 'end-evacuation') && log.repliedCommandVersion < evacuationVersion) {
+			throw new CommandNotAllowedError('a member of the control group runs a release that does not know evacuations');
+		}
+
 		// The age of tombstones is measured by a single clock, that of the leader.
 		return log.propose('at' in command ? {...command, at: clock.wallTime()} : command);
 	}
--- a/src/common/control/control-state-snapshot.ts
+++ b/src/common/control/control-state-snapshot.ts
@@ -4,6 +4,7 @@
 import {type ChangeRecord} from './change-record.js';
 import {type DirectorySnapshot} from './directory-state.js';
 import {type DocumentRecord} from './document-record.js';
+import {type Evacuation} from './evacuation-table.js';
 import {type QuarantineRecord} from './quarantine-record.js';
 import {type RoutingRecord} from './routing-record.js';
 import {type ServiceRollout} from './service-rollout.js';
@@ -25,4 +26,5 @@
 	readonly serviceRollouts?: Array<[string, ServiceRollout]>;
 	readonly quarantinedParts?: Array<[string, number]>;
 	readonly quarantinedRequests?: Array<[string, number]>;
+	readonly evacuations?: readonly Evacuation[];
 }
--- a/src/common/control/control-state.ts
+++ b/src/common/control/control-state.ts
@@ -6,13 +6,14 @@
 import {BurnSumTable} from './burn-sum-table.js';
 import {ChangeHistory} from './change-history.js';
 import {
-	type ControlCommand, type Quarantine, type RemoveDocument, type SubmitDocument, type WithdrawVersion,
+	type ChangeEvacuation, type ControlCommand, type Quarantine, type RemoveDocument, type SubmitDocument, type WithdrawVersion,
 } from './control-command.js';
 import {type ControlResult} from './control-result.js';
 import {type ControlStateSnapshot} from './control-state-snapshot.js';
 import {type ControlView} from './control-view.js';
 import {CrashQuarantines} from './crash-quarantines.js';
 import {DirectoryState} from './directory-state.js';
+import {type Evacuation, EvacuationTable} from './evacuation-table.js';
 import {type DocumentRecord} from './document-record.js';
 import {type EntryHost} from './entry-host.js';
 import {type QuarantineRecord} from './quarantine-record.js';
@@ -39,6 +40,7 @@
 	private readonly _serviceRollouts = new ServiceRolloutTable();
 	private readonly _routing: RoutingState;
 	private readonly _crashQuarantines = new CrashQuarantines();
+	private readonly _evacuations = new EvacuationTable();
 	private readonly _changes = new ChangeHistory();
 
 	constructor(codec: TextCodec = plainTextCodec) {
@@ -105,6 +107,16 @@
 		return this._crashQuarantines.requests.revisions;
 	}
 
+	/** Last order on the evacuation of each zone, withdrawals included. */
+	get evacuations(): ReadonlyMap<string, Evacuation> {
+		return this._evacuations.orders;
+	}
+
+	/** Zones whose backend servers get no requests. */
+	get evacuatedZones(): ReadonlySet<string> {
+		return this._evacuations.active;
+	}
+
 	isQuarantined(service: string, requestClass: string, ref: VersionRef): boolean {
 		return this._quarantines.has(quarantineKey(service, requestClass, ref)) || this._quarantines.has(quarantineKey(service, '*', ref));
 	}
@@ -176,6 +188,15 @@
 				return this._serviceRollouts.step(index, command);
 			}
 
+			case 'evacuate-zone':
+			case 'end-evacuation': {
+				return this._changeEvacuation(index, command);
+			}
+
+			case 'servers-warm': {
+				return this._directory.markWarm(index, command.servers);
+			}
+
 			case 'burn-sums': {
 				return this.burnSums.add(index, command);
 			}
@@ -203,6 +224,7 @@
 			serviceRollouts: this._serviceRollouts.snapshot(),
 			quarantinedParts: this._crashQuarantines.parts.snapshot(),
 			quarantinedRequests: this._crashQuarantines.requests.snapshot(),
+			evacuations: this._evacuations.snapshot(),
 		};
 		// Records are replaced and never mutated, so a snapshot may share them with the state.
 		return snapshot;
@@ -230,6 +252,7 @@
 		this._routing.restore(data.routing);
 		this._crashQuarantines.parts.restore(data.quarantinedParts);
 		this._crashQuarantines.requests.restore(data.quarantinedRequests);
+		this._evacuations.restore(data.evacuations);
 		this._liftedAt.clear();
 		for (const [key, revision] of data.lifted) {
 			this._liftedAt.set(key, revision);
@@ -294,6 +317,17 @@
 		return {status: 'accepted', revision: index};
 	}
 
+	private _changeEvacuation(index: number, command: ChangeEvacuation): ControlResult {
+		const wasActive = this.evacuatedZones.has(command.zone);
+		const result = this._evacuations.apply(index, command);
+		if (wasActive && !this.evacuatedZones.has(command.zone)) {
+			// They may have turned cold while they got no requests.
+			this._directory.markCold(index, command.zone);
+		}
+
+		return result;
+	}
+
 	private _quarantine(index: number, {type, service, requestClass, ref, reason}: Quarantine): ControlResult {
 		const key = quarantineKey(service, requestClass, ref);
 		if (type === 'quarantine') {
--- a/src/common/control/control-view.ts
+++ b/src/common/control/control-view.ts
@@ -3,6 +3,7 @@
 import {type BackendServer} from './backend-server.js';
 import {type DocumentRecord} from './document-record.js';
 import {type EntryHost} from './entry-host.js';
+import {type Evacuation} from './evacuation-table.js';
 import {type QuarantineRecord} from './quarantine-record.js';
 import {type RoutingRecord} from './routing-record.js';
 import {type ServiceRollout} from './service-rollout.js';
@@ -27,6 +28,10 @@
 	readonly quarantinedParts: ReadonlyMap<string, number>;
 	/** Revisions at which requests were quarantined, by digest. */
 	readonly quarantinedRequests: ReadonlyMap<string, number>;
+	/** Last order on the evacuation of each zone, withdrawals included. */
+	readonly evacuations: ReadonlyMap<string, Evacuation>;
+	/** Zones whose backend servers get no requests. */
+	readonly evacuatedZones: ReadonlySet<string>;
 	isQuarantined(service: string, requestClass: string, ref: VersionRef): boolean;
 	/** Revision at which a quarantine of the version was lifted; undefined when none was. */
 	liftedAt(service: string, requestClass: string, ref: VersionRef): number | undefined;
--- a/src/common/control/directory-state.ts
+++ b/src/common/control/directory-state.ts
@@ -1,6 +1,6 @@
 import {type BackendServer} from './backend-server.js';
 import {
-	type BackendRemoved, type BackendJoined, type EntryJoined, type EntryLeft,
+	type BackendRemoved, type BackendJoined, type ColdServer, type EntryJoined, type EntryLeft,
 } from './control-command.js';
 import {type ControlResult} from './control-result.js';
 import {type EntryHost} from './entry-host.js';
@@ -89,7 +89,32 @@
 			this._backendTombstones.add(other.id, other.incarnation, at);
 		}
 
-		this.backendServers.set(server.id, isDraining ? {...server, isDraining} : server);
+		const {coldSince, coldMs} = coldMarkAfter(index, server, current);
+		this.backendServers.set(server.id, {
+			...server, ...(isDraining && {isDraining}), ...(coldSince !== undefined && {coldSince, coldMs}),
+		});
+		return {status: 'accepted', revision: index};
+	}
+
+	/** Marks the backend servers of a zone as cold. */
+	markCold(index: number, zone: string): void {
+		for (const [id, {coldMs: _, ...server}] of this.backendServers) {
+			if (server.zone === zone) {
+				this.backendServers.set(id, {...server, coldSince: index});
+			}
+		}
+	}
+
+	/** Takes back marks of cold backend servers, unless they were marked again. */
+	markWarm(index: number, servers: readonly ColdServer[]): ControlResult {
+		for (const {id, incarnation, coldSince} of servers) {
+			const current = this.backendServers.get(id);
+			if (current?.incarnation === incarnation && current.coldSince === coldSince) {
+				const {coldSince: _, coldMs: __, ...server} = current;
+				this.backendServers.set(id, server);
+			}
+		}
+
 		return {status: 'accepted', revision: index};
 	}
 
@@ -131,3 +156,12 @@
 		this._backendTombstones.restore(snapshot.backendTombstones);
 	}
 }
+
+/** Returns the mark of a backend server after its announcement. One that does not say that it is cold keeps its mark: it may have been sent before the process turned cold. */
+function coldMarkAfter(index: number, server: BackendServer, current: BackendServer | undefined): Pick<BackendServer, 'coldSince' | 'coldMs'> {
+	if (server.coldMs !== undefined) {
+		return {coldSince: index, coldMs: server.coldMs};
+	}
+
+	return current?.incarnation === server.incarnation ? current : {};
+}
--- a/src/common/control/routing-proposals.ts
+++ b/src/common/control/routing-proposals.ts
@@ -2,16 +2,12 @@
 import {type TextCodec} from '../base/text-codec.js';
 import {differenceOf} from '../base/text-difference.js';
 import {type ReplicatedLog} from '../consensus/replicated-log.js';
+import {changeRoutingVersion} from './command-versions.js';
 import {type ApplyRouting, type ChangeRouting, type ControlCommand} from './control-command.js';
 import {type ControlResult} from './control-result.js';
 import {type ControlState} from './control-state.js';
 import {baseMismatchCode} from './routing-state.js';
 
-/** Version of commands from which `change-routing` is applied. */
-const changeRoutingVersion = 2;
-/** Highest version of commands that the control state of this software applies. */
-export const controlCommandVersion = changeRoutingVersion;
-
 /**
 Proposes routing configurations at the leader, one at a time. Once all members apply such commands, a configuration is
 proposed as its difference to the one in place, so that a change costs its own size in the log.
--- a/src/common/forwarding/aged-waits.test.ts
+++ b/src/common/forwarding/aged-waits.test.ts
@@ -222,7 +222,7 @@
 	const sent = port.attempts.slice(before).filter(({isAborted}) => !isAborted);
 	const describe = () => {
 		if (sent.length > 0) {
-			return sent.every(({terms}) => pool.notDraining('s').some(({server}) => server.id === terms.serverId)) ? 'sent to an open server' : 'sent to a server that is not open';
+			return sent.every(({terms}) => pool.openServers('s').some(({server}) => server.id === terms.serverId)) ? 'sent to an open server' : 'sent to a server that is not open';
 		}
 
 		if (sink.refusal) {
--- a/src/common/forwarding/choose-server.ts
+++ b/src/common/forwarding/choose-server.ts
@@ -58,12 +58,18 @@
 
 /** Returns the servers that may take an attempt, and those of them with a free connection. */
 function freeServers(services: ForwardServices, {req, service}: AdmittedRequest, tried: ReadonlySet<string>): {readonly candidates: readonly ServerRecord[]; readonly free: readonly ServerRecord[]} {
-	const {pool, state, sessions, clock} = services;
+	const {
+		pool, state, sessions, clock, cold,
+	} = services;
 	const session = sessionOf({sessions}, {req});
 	const share = limitShare({clock, state});
 	const now = clock.now();
-	const untried = pool.notDraining(service).filter(record => !tried.has(record.key) && record.accepts(now) && record.allows(share, now));
-	const candidates = preferred(serversForRelease(state().rollouts.get(service), session, untried, now), now);
+	const untried = pool.openServers(service).filter(record => !tried.has(record.key) && record.accepts(now) && record.allows(share, now));
+	const ofRelease = (servers: readonly ServerRecord[]) => preferred(serversForRelease(state().rollouts.get(service), session, servers, now), now);
+	// The release is chosen whatever servers are cold, so that all hosts choose the same one and the same servers of a trial.
+	const sound = ofRelease(untried);
+	const warm = sound.filter(record => cold.allows(record, service));
+	const candidates = warm.length > 0 || sound.length === 0 ? warm : ofRelease(untried.filter(record => cold.allows(record, service)));
 	const maxConnections = maxConnectionsOf(services, service);
 	return {candidates, free: candidates.filter(({inFlight}) => inFlight < maxConnections)};
 }
@@ -76,6 +82,6 @@
 /** Returns the time in milliseconds until a server of a service takes requests again; 0 unless all of them have asked for a pause. */
 export function pauseOfAllMs({pool, clock}: Pick<ForwardServices, 'pool' | 'clock'>, service: string): number {
 	const now = clock.now();
-	const servers = pool.notDraining(service);
+	const servers = pool.openServers(service);
 	return servers.length === 0 ? 0 : Math.min(...servers.map(record => record.pauseLeftMs(now)));
 }
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -16,7 +16,7 @@
 import {type ForwardServices} from './forward-services.js';
 import {type AdmittedRequest} from './forwarder.js';
 import {
-	mayHaveRunRefusal, notRunRefusal, pausedRefusal, quarantinedPartReason, quarantinedRefusal, quarantinedRequestReason, serversUnreachableReason, stoppingReason, timeoutReason, tooMuchHeldReason,
+	evacuatedReason, evacuatedRefusal, mayHaveRunRefusal, notRunRefusal, pausedRefusal, quarantinedPartReason, quarantinedRefusal, quarantinedRequestReason, serversUnreachableReason, stoppingReason, timeoutReason, tooMuchHeldReason,
 } from './router-refusals.js';
 import {HandOver} from './hand-over.js';
 import {guardedEvents} from './guarded-events.js';
@@ -202,7 +202,7 @@
 		} else if (isFull) {
 			return false;
 		} else {
-			this._endWithoutAnswer('no-server');
+			this._endWithoutAnswer(this._services.pool.isEvacuated(this._admitted.service) ? evacuatedReason : 'no-server');
 		}
 
 		return true;
@@ -223,10 +223,13 @@
 	}
 
 	private _send(record: ServerRecord, isHandedOver: boolean): void {
-		const {clock, port, peerPort, observer, counters, places, held} = this._services;
+		const {
+			clock, port, peerPort, observer, counters, places, held, cold,
+		} = this._services;
 		const {service, route, req} = this._admitted;
 		const now = clock.now();
 		record.recordSent(limitShare(this._services), now);
+		cold.recordSent(record);
 		const model = isHandedOver ? undefined : this.model.name;
 		const attempt = new Attempt(record, model, now, new AttemptEvidence(isHandedOver ? nullReleaseObserver : observer, {
 			service, route: route.name, record, model: model ?? req.generation?.model,
@@ -501,6 +504,10 @@
 			return quarantinedRefusal(reason);
 		}
 
+		if (reason === evacuatedReason) {
+			return evacuatedRefusal(this._services.random());
+		}
+
 		const pauseMs = pauseOfAllMs(this._services, this._admitted.service);
 		const at = this._services.random();
 		return pauseMs > 0 ? pausedRefusal(pauseMs, at) : notRunRefusal(reason, at);
--- a/src/common/forwarding/forward-services.ts
+++ b/src/common/forwarding/forward-services.ts
@@ -5,6 +5,7 @@
 import {type ConfigLease} from '../control/config-lease.js';
 import {type ServiceRollout} from '../control/service-rollout.js';
 import {type BackendPort} from './backend-port.js';
+import {type ColdServers} from './cold-servers.js';
 import {type CrashObserver} from './crash-observer.js';
 import {type ModelPolicy} from './model-policy.js';
 import {type ModelSpeeds} from './model-speeds.js';
@@ -71,6 +72,8 @@
 	readonly placement: Placement;
 	/** Requests that wait for a connection to a server. */
 	readonly places: PlaceQueue;
+	/** Limits the requests to cold servers. */
+	readonly cold: ColdServers;
 	/** Limits the bytes that are held for callers and backend servers. */
 	readonly held: HeldBytes;
 	readonly models: ModelPolicy;
--- a/src/common/forwarding/held-answers.test.ts
+++ b/src/common/forwarding/held-answers.test.ts
@@ -225,7 +225,7 @@
 		expect(port.attempts.at(-1)!.isAborted).toBe(false);
 	}
 
-	expect(pool.notDraining('s').map(({health}) => health.isEjected)).toEqual([false, false, false]);
+	expect(pool.openServers('s').map(({health}) => health.isEjected)).toEqual([false, false, false]);
 });
 
 // Guards against an answer that is resumed at the wrong event after it was held back, delivered and then spoilt.
--- a/src/common/forwarding/record-server-terms.ts
+++ b/src/common/forwarding/record-server-terms.ts
@@ -38,7 +38,7 @@
 
 	if (maxRefusalsPerSecond !== undefined) {
 		// All servers of a service become brittle together; this host may not have asked the others lately.
-		for (const {refusalLimit} of pool.notDraining(service)) {
+		for (const {refusalLimit} of pool.openServers(service)) {
 			refusalLimit.update(maxRefusalsPerSecond, sentAt, now);
 		}
 	}
--- a/src/common/forwarding/router-refusals.ts
+++ b/src/common/forwarding/router-refusals.ts
@@ -2,6 +2,8 @@
 
 /** Range in seconds of the time after which a refused caller may retry; jittered, so that callers do not retry together. */
 const retryAfterRange = [0.2, 0.6] as const;
+/** The same while all servers are in evacuated zones, which only an operator ends; spread, because all callers return then. */
+const evacuatedRetryRange = [1, 3] as const;
 /** Minimum time in milliseconds over which callers return after a pause of all servers. */
 const minPauseSpreadMs = 400;
 const msPerSecond = 1000;
@@ -25,6 +27,9 @@
 /** Code of a request that reached its deadline. */
 export const timeoutReason = 'timeout';
 
+/** Code of a request whose service has servers in evacuated zones only. */
+export const evacuatedReason = 'zone-evacuated';
+
 /** Code of a request whose answer was given up because the host holds too many bytes. */
 export const tooMuchHeldReason = 'too-much-held';
 
@@ -36,6 +41,14 @@
 	};
 }
 
+/** Refusal of a request that has not run because its servers are in evacuated zones. `at` in [0, 1) picks the retry time. */
+export function evacuatedRefusal(at: number): Refusal {
+	const [least, most] = evacuatedRetryRange;
+	return {
+		status: unavailable, code: evacuatedReason, ran: 'no', retryAfterSeconds: least + (at * (most - least)),
+	};
+}
+
 /** Refusal of a request that has not run because all servers have asked for a pause. `at` in [0, 1) spreads the callers' return over half of its rest. */
 export function pausedRefusal(pauseMs: number, at: number): Refusal {
 	const spreadMs = Math.max(minPauseSpreadMs, pauseMs / 2);
--- a/src/common/forwarding/routing-config.ts
+++ b/src/common/forwarding/routing-config.ts
@@ -58,6 +58,8 @@
 	readonly maxConnections: number;
 	/** Number of requests that a backend server runs concurrently; undefined when the backend servers announce it. */
 	readonly slots: number | undefined;
+	/** Number of requests per second that a cold server bears from all hosts together; undefined without a limit. */
+	readonly coldPerSecond?: number | undefined;
 	/** Models of a model engine service, smallest first; empty for a plain service. */
 	readonly models: readonly ServiceModel[];
 }
--- a/src/common/forwarding/server-pool.ts
+++ b/src/common/forwarding/server-pool.ts
@@ -93,9 +93,11 @@
 	private readonly _byService = new Map<string, ServerRecord[]>();
 	/** Times at which processes with a record left the directory, by key, oldest first. */
 	private readonly _unlistedAt = new Map<string, number>();
+	private _evacuatedZones: ReadonlySet<string> = new Set();
 
 	/** Replaces the backend servers with those of the directory. Records of processes that are no longer listed are kept for a time. */
-	update(servers: Iterable<BackendServer>, now: number): void {
+	update(servers: Iterable<BackendServer>, now: number, evacuatedZones: ReadonlySet<string> = new Set()): void {
+		this._evacuatedZones = evacuatedZones;
 		this._byService.clear();
 		const seen = new Set<string>();
 		for (const server of servers) {
@@ -129,15 +131,29 @@
 		this._dropUnlisted(now);
 	}
 
-	/** Returns the backend servers of a service that are neither draining nor leaving, whatever their health. */
-	notDraining(service: string): ServerRecord[] {
-		return (this._byService.get(service) ?? []).filter(({server, isLeaving}) => !server.isDraining && !isLeaving);
+	/** Returns the backend servers of a service that are neither draining nor leaving nor in an evacuated zone, whatever their health. */
+	openServers(service: string): ServerRecord[] {
+		return this._notDraining(service).filter(record => !this._isEvacuated(record));
+	}
+
+	/** Whether all backend servers of a service that are neither draining nor leaving are in evacuated zones. */
+	isEvacuated(service: string): boolean {
+		const servers = this._notDraining(service);
+		return servers.length > 0 && servers.every(record => this._isEvacuated(record));
 	}
 
-	/** Whether a process may get new requests for a service: it is listed, and neither draining nor leaving. */
+	/** Whether a process may get new requests for a service: it is listed, in a zone that is not evacuated, and neither draining nor leaving. */
 	isOpen(service: string, record: ServerRecord): boolean {
 		const {server, key, isLeaving} = record;
-		return this._records.get(key) === record && !this._unlistedAt.has(key) && server.services.includes(service) && !server.isDraining && !isLeaving;
+		return this._records.get(key) === record && !this._unlistedAt.has(key) && server.services.includes(service) && !server.isDraining && !isLeaving && !this._isEvacuated(record);
+	}
+
+	private _notDraining(service: string): ServerRecord[] {
+		return (this._byService.get(service) ?? []).filter(({server, isLeaving}) => !server.isDraining && !isLeaving);
+	}
+
+	private _isEvacuated({server}: ServerRecord): boolean {
+		return this._evacuatedZones.has(server.zone);
 	}
 
 	private _dropUnlisted(now: number): void {
--- a/src/common/forwarding/server-reach.ts
+++ b/src/common/forwarding/server-reach.ts
@@ -111,7 +111,7 @@
 	/** Returns the addresses of random servers of a service. */
 	private _sample(service: string, count: number): string[] {
 		const {pool, random} = this._options;
-		return pool.notDraining(service)
+		return pool.openServers(service)
 			.map(({server}) => ({address: server.address, order: random()}))
 			.sort((left, right) => left.order - right.order)
 			.slice(0, count)
--- a/src/common/forwarding/server-requests.test.ts
+++ b/src/common/forwarding/server-requests.test.ts
@@ -192,7 +192,7 @@
 		port.attempts.at(-1)!.events.onFailure({isUnsent: true, reason: 'withdrawn'});
 	}
 
-	expect(pool.notDraining('s')[0]!.health.isEjected).toBe(false);
+	expect(pool.openServers('s')[0]!.health.isEjected).toBe(false);
 });
 
 // Guards against a running request that is aborted or sent again because its server is silent towards control, leaves, or asks for
--- a/src/common/forwarding/stall.test.ts
+++ b/src/common/forwarding/stall.test.ts
@@ -138,5 +138,5 @@
 	}
 
 	await clock.advance(1001);
-	expect(pool.notDraining('s')[0]!.health.isEjected).toBe(isEjected);
+	expect(pool.openServers('s')[0]!.health.isEjected).toBe(isEjected);
 });
--- a/src/common/forwarding/write-check.ts
+++ b/src/common/forwarding/write-check.ts
@@ -40,11 +40,11 @@
 		return this._services.lease.isValid() && this.isAllowed;
 	}
 
-	/** Whether the request may be written to a backend server now. */
+	/** Whether the request may be written to a backend server now; called immediately before it is. */
 	allowsServer(record: ServerRecord): boolean {
-		const {pool} = this._services;
+		const {pool, cold} = this._services;
 		const {service} = this._admitted;
-		return this._allowsWrite(record) && pool.isOpen(service, record) && this._allowsRelease(record);
+		return this._allowsWrite(record) && pool.isOpen(service, record) && this._allowsRelease(record) && cold.startWrite(record, service);
 	}
 
 	/** Whether the request may be handed over to another entry host now. */
--- a/src/common/host/control-host.ts
+++ b/src/common/host/control-host.ts
@@ -13,6 +13,7 @@
 import {LogMember} from '../consensus/log-member.js';
 import {type LogStorage} from '../consensus/log-storage.js';
 import {role} from '../consensus/role.js';
+import {controlCommandVersion} from '../control/command-versions.js';
 import {BackendHeartbeats} from '../control/backend-heartbeats.js';
 import {isSameAnnouncement} from '../control/backend-registrar.js';
 import {type BackendServer} from '../control/backend-server.js';
@@ -20,12 +21,12 @@
 import {ControlUnavailableError} from '../control/control-errors.js';
 import {commitIndexMethod, proposeMethod} from '../control/control-methods.js';
 import {type ControlResult} from '../control/control-result.js';
+import {ColdServerWatch} from '../control/cold-server-watch.js';
 import {ControlService} from '../control/control-service.js';
 import {ControlState} from '../control/control-state.js';
 import {proposeTimeoutMs} from '../control/control-times.js';
 import {EntryList, type EntryListReply} from '../control/entry-list.js';
 import {LeaderClient} from '../control/leader-client.js';
-import {controlCommandVersion} from '../control/routing-proposals.js';
 import {type RoutingRecord} from '../control/routing-record.js';
 import {type ServiceRollout} from '../control/service-rollout.js';
 import {VotersSource} from '../control/voters-section.js';
@@ -61,6 +62,8 @@
 	readonly codec: TextCodec;
 	/** Time in milliseconds after its acknowledgement at which a routing configuration must be in force. */
 	readonly configurationBoundMs?: number;
+	/** Returns the times in milliseconds for which servers are cold after their start, by service of a routing configuration. Without it no server counts as cold. */
+	readonly parseColdStarts?: (source: string) => ReadonlyMap<string, number>;
 }
 
 /** Minimum interval in milliseconds between two batches of log entries: with nine members, bursts of changes take a quarter of a small processor. */
@@ -91,6 +94,8 @@
 	private readonly _leaderClient: LeaderClient;
 	private readonly _heartbeats: BackendHeartbeats;
 	private readonly _entryList: EntryList;
+	private readonly _coldServers: ColdServerWatch;
+	private _coldStarts: {readonly revision: number; readonly byService: ReadonlyMap<string, number>} | undefined;
 	/** Pending proposals of announced backend servers, so that repeated announcements share one. */
 	private readonly _pendingJoins = new Map<string, Promise<ControlResult>>();
 
@@ -109,6 +114,7 @@
 		const supervisor = this._store.add(new ReleaseSupervisor({...shared, leadership: this._service.leadership}));
 		this._store.add(this._service.addSection(supervisor));
 		this._store.add(this._service.addSection(this._store.add(new CrashSupervisor({...shared, leadership: this._service.leadership}))));
+		this._coldServers = this._store.add(new ColdServerWatch({...shared, leadership: this._service.leadership, coldStartMs: service => this._coldStartMs(service)}));
 		this._store.add(this._service.addSection(new StickySessionExchange(clock, _options.sessionMs)));
 		this._entryList = new EntryList(_state, {isValid: () => true}, keepSeconds);
 	}
@@ -145,6 +151,17 @@
 		});
 	}
 
+	/**
+	Orders that backend servers of a zone get no requests, or withdraws the order.
+
+	@throws ControlUnavailableError when the outcome is unknown; a retry is safe.
+	*/
+	async changeEvacuation(zone: string, isActive: boolean): Promise<ControlResult> {
+		return this._propose({
+			type: isActive ? 'evacuate-zone' : 'end-evacuation', zone, base: this._state.evacuations.get(zone)?.revision ?? 0, at: this._options.clock.wallTime(),
+		});
+	}
+
 	/** Reads the latest committed routing configuration. @throws ControlUnavailableError when this host cannot confirm that it is up to date. */
 	async readRouting(): Promise<RoutingRecord | undefined> {
 		await this._catchUp();
@@ -163,17 +180,19 @@
 	@returns whether the process is in the directory; it is not after it has left or a newer process has replaced it.
 	@throws ControlUnavailableError when the outcome is unknown; the next heartbeat retries.
 	*/
-	async announce(server: BackendServer): Promise<boolean> {
+	async announce({coldMs, ...announced}: BackendServer): Promise<boolean> {
+		const server: BackendServer = coldMs === undefined || !this._options.parseColdStarts ? announced : {...announced, coldMs};
 		if (!this._heartbeats.recordHeartbeat(server)) {
 			throw new ControlUnavailableError('the leader cannot be told of heartbeats');
 		}
 
 		const known = this._state.backendServers.get(server.id);
-		if (known?.incarnation === server.incarnation && (isSameAnnouncement(known, server) || (known.isDraining && !server.isDraining))) {
+		const isNewlyCold = known && server.coldMs !== undefined && this._coldServers.isColdForLonger(known, server.coldMs);
+		if (known?.incarnation === server.incarnation && !isNewlyCold && (isSameAnnouncement(known, server) || (known.isDraining && !server.isDraining))) {
 			return true;
 		}
 
-		const key = JSON.stringify(server);
+		const key = JSON.stringify({...server, coldMs: undefined});
 		let pendingJoin = this._pendingJoins.get(key);
 		if (!pendingJoin) {
 			pendingJoin = this._join(key, server);
@@ -221,6 +240,20 @@
 		this._store.dispose();
 	}
 
+	private _coldStartMs(service: string): number {
+		const {routing} = this._state;
+		const {parseColdStarts} = this._options;
+		if (!routing || !parseColdStarts) {
+			return 0;
+		}
+
+		if (this._coldStarts?.revision !== routing.revision) {
+			this._coldStarts = {revision: routing.revision, byService: parseColdStarts(routing.source)};
+		}
+
+		return this._coldStarts.byService.get(service) ?? 0;
+	}
+
 	private get _voters(): readonly string[] {
 		return this._log.members.filter(({isVoter}) => isVoter).map(({host}) => host);
 	}
@@ -229,9 +262,9 @@
 		const {logger, clock} = this._options;
 		try {
 			const result = await this._propose({type: 'backend-joined', server, at: clock.wallTime()});
-			const {id, incarnation, address, release, isDraining} = server;
+			const {id, incarnation, address, release, isDraining, coldMs} = server;
 			logger.info({
-				server: id, incarnation, address, release, isDraining, services: server.services, outcome: result.status,
+				server: id, incarnation, address, release, isDraining, coldMs, services: server.services, outcome: result.status,
 			}, 'backend server announced');
 			return result;
 		} finally {
--- a/src/common/host/forward-host.ts
+++ b/src/common/host/forward-host.ts
@@ -16,6 +16,7 @@
 import {type EntryHost} from '../control/entry-host.js';
 import {KnownVoters} from '../control/voters-section.js';
 import {type BackendPort} from '../forwarding/backend-port.js';
+import {type ColdBounds, SharedColdServers} from '../forwarding/cold-servers.js';
 import {FleetRepeatBudget, type RepeatLimit} from '../forwarding/fleet-repeat-budget.js';
 import {Forwarder} from '../forwarding/forwarder.js';
 import {type ForwardState} from '../forwarding/forward-services.js';
@@ -67,6 +68,8 @@
 	readonly configurationBoundMs: number;
 	/** Time in milliseconds after a request for which its session counts as active. */
 	readonly sessionMs: number;
+	/** What cold servers bear beyond their stated rate; undefined without limits for them. */
+	readonly coldBounds?: ColdBounds | undefined;
 }
 
 /** An entry host that forwards requests by the routing configuration: a control follower and a forwarder with their shared state. */
@@ -82,6 +85,8 @@
 	private readonly _trialSessions = new TrialSessions();
 	private readonly _budgets = new Map<string, FleetRepeatBudget>();
 	private readonly _slackShare: SlackShare;
+	private readonly _cold: SharedColdServers;
+	private _evacuatedZones: ReadonlySet<string> = new Set();
 	private readonly _onRouting = this._store.add(new Emitter<RoutingConfig>());
 	private readonly _onServers = this._store.add(new Emitter<ReadonlySet<string>>());
 	private readonly _onPeers = this._store.add(new Emitter<ReadonlySet<string>>());
@@ -98,6 +103,7 @@
 		this._peers = new PeerHosts(entry.host);
 		this._places = this._store.add(new PlaceQueue(clock));
 		this._slackShare = new SlackShare(clock, leaseMs, leaseMs + _options.repeatLimit.windowMs);
+		this._cold = new SharedColdServers(entry.host, clock, service => this._coldLimit(service));
 		this.follower = this._store.add(new ControlFollower({..._options, voters: () => this._voters.hosts, sections: []}));
 		this._recorder = this._store.add(new ReleaseRecorder(service => {
 			const rollout = this.follower.view.serviceRollouts.get(service);
@@ -146,6 +152,7 @@
 			})),
 			placement: new AffinityPlacement(random.fork('placement')),
 			places: this._places,
+			cold: this._cold,
 			held: _options.held,
 			speeds: new ModelSpeeds(),
 			models: new LoadAwareCascade(acceptedConfidence, latencyMargin),
@@ -208,11 +215,35 @@
 		return budget;
 	}
 
+	/** Number of requests that a cold server of a service bears in any second; undefined without a limit. */
+	private _coldLimit(service: string): number | undefined {
+		const {coldBounds} = this._options;
+		const perSecond = this._table?.services.get(service)?.coldPerSecond;
+		return perSecond === undefined || !coldBounds ? undefined : (perSecond * coldBounds.overrun) + coldBounds.slack;
+	}
+
+	private _applyEvacuations(): void {
+		const {logger, counters} = this._options;
+		const {evacuatedZones, revision} = this.follower.view;
+		if (evacuatedZones === this._evacuatedZones) {
+			return;
+		}
+
+		const isChanged = evacuatedZones.size !== this._evacuatedZones.size || [...evacuatedZones].some(zone => !this._evacuatedZones.has(zone));
+		this._evacuatedZones = evacuatedZones;
+		if (isChanged) {
+			counters.gauge('forward.evacuated-zones', evacuatedZones.size);
+			logger.info({zones: [...evacuatedZones], revision}, 'evacuated zones changed');
+		}
+	}
+
 	private _applyRevision(): void {
 		const {logger, parseRouting} = this._options;
 		const {view} = this.follower;
 		this._trialSessions.update(view);
-		this._pool.update(view.backendServers.values(), this._options.clock.now());
+		this._applyEvacuations();
+		this._pool.update(view.backendServers.values(), this._options.clock.now(), this._evacuatedZones);
+		this._cold.update(view.entryHosts.values(), view.entryHosts.get(this._options.entry.host)?.incarnation === this.follower.incarnation);
 		this._hostIndex = Math.max(0, [...view.entryHosts.keys()].sort().indexOf(this._options.entry.host));
 		this._onServers.fire(new Set([...view.backendServers.values()].map(({address}) => address)));
 		this._peers.update(view.entryHosts.values());
--- a/src/common/host/voter-role.ts
+++ b/src/common/host/voter-role.ts
@@ -6,6 +6,7 @@
 import {LogMember} from '../consensus/log-member.js';
 import {role} from '../consensus/role.js';
 import {type StateMachine} from '../consensus/state-machine.js';
+import {controlCommandVersion} from '../control/command-versions.js';
 import {type ControlCommand} from '../control/control-command.js';
 import {type ControlResult} from '../control/control-result.js';
 import {type VoterLog} from '../control/control-node.js';
@@ -24,7 +25,7 @@
 	static async start(services: HostServices): Promise<VoterRole> {
 		const state = new ControlState();
 		const ledgerState = new LedgerState();
-		const control = await startMember<ControlCommand, ControlResult>(services, 'control', state);
+		const control = await startMember<ControlCommand, ControlResult>(services, 'control', state, controlCommandVersion);
 		const ledger = await startMember<LedgerCommand, LedgerReply>(services, 'ledger-0', ledgerState);
 		return new VoterRole(services, {
 			control, ledger, state, ledgerState,
@@ -89,11 +90,12 @@
 	readonly ledgerState: LedgerState;
 };
 
-async function startMember<Command, Result>(services: HostServices, group: string, machine: StateMachine<Command, Result>): Promise<LogMember<Command, Result>> {
+async function startMember<Command, Result>(services: HostServices, group: string, machine: StateMachine<Command, Result>, commandVersion?: number): Promise<LogMember<Command, Result>> {
 	const {cfg} = services;
 	return LogMember.start<Command, Result>({
 		...services,
 		group,
+		commandVersion,
 		region: cfg.region,
 		voterHosts: [...cfg.voters.keys()],
 		isBootstrap: cfg.bootstrap,
--- a/src/daemon/pieces.test.ts
+++ b/src/daemon/pieces.test.ts
@@ -173,7 +173,7 @@
 	async 'a held answer'(pieceBytes) {
 		const pool = new ServerPool();
 		pool.update([testBackend('a')], 0);
-		const record = pool.notDraining('s')[0]!;
+		const record = pool.openServers('s')[0]!;
 		const attempt = new Attempt(record, 'm', 0, new AttemptEvidence(nullReleaseObserver, {
 			service: 's', route: 'r', record, model: 'm',
 		}, 0), new HeldBytes().open('a', 'a', () => undefined));
--- a/src/node/endless-answers.test.ts
+++ b/src/node/endless-answers.test.ts
@@ -128,7 +128,7 @@
 		expect(sink.text.replace('id: 1\ndata: x\n\n', '')).toBe('');
 	}
 
-	expect(pool.notDraining('s')[0]!.health.isAvailable(clock.now())).toBe(false);
+	expect(pool.openServers('s')[0]!.health.isAvailable(clock.now())).toBe(false);
 });
 
 /** Memory in bytes of this process that grows with buffered answers. */
--- a/src/testing/delayed-log.ts
+++ b/src/testing/delayed-log.ts
@@ -125,6 +125,10 @@
 		return 1;
 	}
 
+	get repliedCommandVersion(): number {
+		return this.commandVersion;
+	}
+
 	get commitIndex(): number {
 		return this._log.entries.length;
 	}
--- a/src/testing/local-log.ts
+++ b/src/testing/local-log.ts
@@ -39,6 +39,10 @@
 		return this.groupCommandVersion;
 	}
 
+	get repliedCommandVersion(): number {
+		return this.groupCommandVersion;
+	}
+
 	get commitIndex(): number {
 		return this._entries.length;
 	}
--- a/src/testing/shared-log.ts
+++ b/src/testing/shared-log.ts
@@ -87,6 +87,10 @@
 		return this._log.commandVersion;
 	}
 
+	get repliedCommandVersion(): number {
+		return this._log.commandVersion;
+	}
+
 	get commitIndex(): number {
 		return this._applied;
 	}
