Let the expected times of larger models follow the load of the engines

Nearly every request measures the smallest model. The ratio of its present to its usual times divides the samples of all models and multiplies their expected times.

Without it the expected times are as before.

--- a/src/common/forwarding/decayed-line.ts
+++ b/src/common/forwarding/decayed-line.ts
@@ -13,14 +13,15 @@
 	/** `_halfLifeMs` is the time in milliseconds after which a sample counts half. */
 	constructor(private readonly _halfLifeMs: number) {}
 
-	add(x: number, y: number, now: number): void {
+	/** Adds a sample that counts as `weight` samples. */
+	add(x: number, y: number, now: number, weight = 1): void {
 		const factor = 0.5 ** (Math.max(0, now - this._decayedAt) / this._halfLifeMs);
 		this._decayedAt = now;
-		this._count = (this._count * factor) + 1;
-		this._x = (this._x * factor) + x;
-		this._y = (this._y * factor) + y;
-		this._xx = (this._xx * factor) + (x * x);
-		this._xy = (this._xy * factor) + (x * y);
+		this._count = (this._count * factor) + weight;
+		this._x = (this._x * factor) + (weight * x);
+		this._y = (this._y * factor) + (weight * y);
+		this._xx = (this._xx * factor) + (weight * x * x);
+		this._xy = (this._xy * factor) + (weight * x * y);
 	}
 
 	/** Value of the line; 0 before the first sample. */
--- a/src/common/forwarding/escalation.ts
+++ b/src/common/forwarding/escalation.ts
@@ -113,6 +113,7 @@
 }
 
 /** Describes for the log whether a larger model is asked, and the inputs of the decision. */
-function describeDecision(isAsked: boolean, confidence: number, {firstEventMs, lastEventMs}: AnswerTimes): string {
-	return `${isAsked ? 'larger-asked' : 'kept'}-at-${confidence}:first-${Math.round(firstEventMs)}ms:last-${Math.round(lastEventMs)}ms`;
+function describeDecision(isAsked: boolean, confidence: number, {firstEventMs, lastEventMs, load}: AnswerTimes): string {
+	const decision = `${isAsked ? 'larger-asked' : 'kept'}-at-${confidence}:first-${Math.round(firstEventMs)}ms:last-${Math.round(lastEventMs)}ms`;
+	return load === undefined ? decision : `${decision}:load-${load.toFixed(1)}`;
 }
--- a/src/common/forwarding/request-model.ts
+++ b/src/common/forwarding/request-model.ts
@@ -1,4 +1,5 @@
 import {type Attempt} from './attempt.js';
+import {type EngineLoad} from './engine-load.js';
 import {type AdmittedRequest} from './forwarder.js';
 import {type ForwardServices} from './forward-services.js';
 import {type ModelContext} from './model-policy.js';
@@ -10,7 +11,7 @@
 	private _isEscalated = false;
 
 	constructor(
-		private readonly _services: Pick<ForwardServices, 'clock' | 'models' | 'speeds'>,
+		private readonly _services: Pick<ForwardServices, 'clock' | 'counters' | 'models' | 'speeds'>,
 		private readonly _admitted: AdmittedRequest,
 		private readonly _startedAt: number,
 		private readonly _deadlineAt: number,
@@ -61,15 +62,24 @@
 		if (generation && model !== undefined) {
 			const now = this._services.clock.now();
 			this._speed(model).recordFirstEvent(generation, now - sentAt, now);
+			const load = this._loadMeasuredWith(model);
+			if (load) {
+				load.recordFirstEvent(model, generation, now - sentAt, now);
+				this._services.counters.gauge('forward.engine-load', load.firstEventAt(now), {service: this._admitted.service});
+			}
 		}
 	}
 
 	/** Records the last event of an attempt. */
-	recordEnd({model, headAt}: Attempt): void {
+	recordEnd({model, headAt, hasEnded}: Attempt): void {
 		const {req: {generation}} = this._admitted;
 		if (generation && model !== undefined && headAt !== undefined) {
 			const now = this._services.clock.now();
 			this._speed(model).recordEnd(generation, now - headAt, now);
+			// A held answer that is delivered after its end was complete earlier.
+			if (!hasEnded) {
+				this._loadMeasuredWith(model)?.recordEnd(model, generation, now - headAt, now);
+			}
 		}
 	}
 
@@ -77,6 +87,12 @@
 		return this._services.speeds.of(this._admitted.service, model);
 	}
 
+	/** Load of the engines, if it is measured with this model: nearly every request asks the smallest model of its route first. */
+	private _loadMeasuredWith(model: string): EngineLoad | undefined {
+		const {service, route} = this._admitted;
+		return model === route.models[0] ? this._services.speeds.load(service) : undefined;
+	}
+
 	private _context(): ModelContext | undefined {
 		const {req: {generation}, route} = this._admitted;
 		const now = this._services.clock.now();
--- a/src/common/host/forward-host.ts
+++ b/src/common/host/forward-host.ts
@@ -70,6 +70,8 @@
 	readonly sessionMs: number;
 	/** What cold servers bear beyond their stated rate; undefined without limits for them. */
 	readonly coldBounds?: ColdBounds | undefined;
+	/** Whether callers compete for insufficient capacity, so that the expected times of models follow the load of the engines; false by default. */
+	readonly followsLoad?: boolean;
 }
 
 /** An entry host that forwards requests by the routing configuration: a control follower and a forwarder with their shared state. */
@@ -154,7 +156,7 @@
 			places: this._places,
 			cold: this._cold,
 			held: _options.held,
-			speeds: new ModelSpeeds(),
+			speeds: new ModelSpeeds(_options.followsLoad),
 			models: new LoadAwareCascade(acceptedConfidence, latencyMargin),
 			observer: this._recorder,
 			crashes,
