--- a/src/common/control/entry-host.ts
+++ b/src/common/control/entry-host.ts
@@ -9,4 +9,6 @@
 	readonly peerAddress: string;
 	readonly zone: string;
 	readonly leaving: boolean;
+	/** Processors that the process may use; undefined when unknown. */
+	readonly capacity?: number | undefined;
 }
