List entry hosts in proportion to their capacity

All callers with the same name and zone got the same list, cut at 64, so large hosts and hosts late in the order got few callers.

--- a/src/common/control/control-node.ts
+++ b/src/common/control/control-node.ts
@@ -71,7 +71,7 @@
 		this.loads = new LoadReporter(this.registrar, clock);
 		follower.addSection(this.observer);
 		follower.addSection(this.loads);
-		this.entryList = new EntryList(follower.view, follower.lease, options.keepSeconds);
+		this.entryList = new EntryList(follower.view, follower.lease, {keepSeconds: options.keepSeconds});
 		this.drain = new EntryDrain({
 			follower, client: this.client, clock, logger, keepSeconds: this.entryList.keepSeconds,
 		});
--- a/src/common/control/entry-list.test.ts
+++ b/src/common/control/entry-list.test.ts
@@ -1,4 +1,6 @@
 import {expect, it} from 'vitest';
+import {type EntryLeft} from './control-command.js';
+import {DirectoryState} from './directory-state.js';
 import {EntryList} from './entry-list.js';
 import {type EntryHost} from './entry-host.js';
 
@@ -34,3 +36,27 @@
 it('limits the cache time of a list to 1 s while there is no lease', () => {
 	expect(entryList(false).for('caller', 'a').keepSeconds).toBe(1);
 });
+
+// Guards against callers that are sent to a host that was killed, and against a list that is drawn from an earlier directory.
+it('omits a host once it has expired', () => {
+	const directory = new DirectoryState();
+	const list = new EntryList(directory, {isValid: () => true}, {maxLength: 64});
+	const listed = () => list.for('caller', 'a', '10.1.0.1').entries.map(({host}) => host).toSorted();
+	for (const [, entry] of hosts.slice(0, 4)) {
+		directory.joinEntry(1, {type: 'entry-joined', entry: {...entry, capacity: 0.3}});
+	}
+
+	const leave = (type: EntryLeft['type'], host: string) => directory.leaveEntry(2, {
+		type, host, incarnation: 1, at: 0,
+	});
+	expect(listed()).toEqual(['e0', 'e1', 'e2', 'e3']);
+	leave('entry-expired', 'e1');
+	expect(listed()).toEqual(['e0', 'e2', 'e3']);
+	leave('entry-leaving', 'e2');
+	expect(listed()).toEqual(['e0', 'e3']);
+	for (const host of ['e0', 'e3']) {
+		leave('entry-expired', host);
+	}
+
+	expect(listed()).toEqual([]);
+});
--- a/src/common/host/control-host.ts
+++ b/src/common/host/control-host.ts
@@ -58,6 +58,8 @@
 	readonly exposureLimit: ExposureLimit;
 	/** Time in seconds for which callers cache the list of entry hosts. */
 	readonly keepSeconds: number;
+	/** Maximum number of entry hosts in a list; without it all are listed. */
+	readonly maxListed?: number;
 	/** Codec of routing configurations in the log and in transfers; all hosts use the same one. */
 	readonly codec: TextCodec;
 	/** Time in milliseconds after its acknowledgement at which a routing configuration must be in force. */
@@ -104,7 +106,7 @@
 		private readonly _log: LogMember<ControlCommand, ControlResult>,
 		private readonly _state: ControlState,
 	) {
-		const {transport, clock, random, seeds, keepSeconds} = _options;
+		const {transport, clock, random, seeds, keepSeconds, maxListed} = _options;
 		const shared = {..._options, log: _log, state: _state};
 		this._store.add(_log);
 		this._service = this._store.add(new ControlService(shared));
@@ -116,7 +118,7 @@
 		this._store.add(this._service.addSection(this._store.add(new CrashSupervisor({...shared, leadership: this._service.leadership}))));
 		this._coldServers = this._store.add(new ColdServerWatch({...shared, leadership: this._service.leadership, coldStartMs: service => this._coldStartMs(service)}));
 		this._store.add(this._service.addSection(new StickySessionExchange(clock, _options.sessionMs)));
-		this._entryList = new EntryList(_state, {isValid: () => true}, keepSeconds);
+		this._entryList = new EntryList(_state, {isValid: () => true}, {keepSeconds, maxLength: maxListed});
 	}
 
 	/** Raised when the member has stopped permanently; the process must end. */
@@ -134,9 +136,9 @@
 		return this._state.routing;
 	}
 
-	/** Returns the list of entry hosts for a caller. */
-	entries(caller: string, zone: string): EntryListReply {
-		return this._entryList.for(caller, zone);
+	/** Returns the list of entry hosts for a caller. `client` tells clients with the same name apart. */
+	entries(caller: string, zone: string, client: string): EntryListReply {
+		return this._entryList.for(caller, zone, client);
 	}
 
 	/** Proposes a routing configuration. @throws ControlUnavailableError when the outcome is unknown; a retry is safe. */
