--- a/src/common/documents/document-error.ts
+++ b/src/common/documents/document-error.ts
@@ -4,6 +4,8 @@
 export interface DocumentIssue {
 	/** Path in the document, for example `customers[0].name`. */
 	readonly path: string;
+	/** Line in the text, from 1; undefined when the document was not read from text. */
+	readonly line?: number;
 	readonly message: string;
 }
 
