--- a/src/common/forwarding/check-routing.test.ts
+++ b/src/common/forwarding/check-routing.test.ts
@@ -1,28 +1,9 @@
 import {expect, it} from 'vitest';
+import {sampleRoute as route, sampleRouting as config} from '../../testing/routing-config-samples.js';
 import {checkRouting} from './check-routing.js';
 import {RouteTable} from './route-table.js';
 import {RoutingConfigError} from './routing-error.js';
-import {repetition, type Route, type RoutingConfig} from './routing-config.js';
-
-function route(changes: Partial<Route> = {}): Route {
-	return {
-		name: 'r', hostname: 'h.example', pathPrefix: '/a/', repetition: repetition.idempotent, timeoutMs: 1000, targetLatencyMs: 100, targetPauseMs: 0, priority: 0, services: [{service: 's', weight: 1}], maxAttempts: 2, isAnonymous: false, hasPromptParts: false, isResumable: false, models: [], ...changes,
-	};
-}
-
-function config(routes: readonly Route[], customers?: RoutingConfig['customers']): RoutingConfig {
-	return {
-		version: 1,
-		routes,
-		services: [{
-			name: 's', healthPath: '/', maxConnections: 10, slots: undefined, models: [],
-		}],
-		limits: {
-			maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
-		},
-		customers,
-	};
-}
+import {type RoutingConfig} from './routing-config.js';
 
 // Guards against an invalid configuration that is accepted and applied.
 it.each<{name: string; cfg: RoutingConfig; isValid: boolean}>([
@@ -44,6 +25,19 @@
 	}
 });
 
+// Guards against an author who learns of one error at a time, or not where it is.
+it('reports all violations with their places', () => {
+	let issues: RoutingConfigError['issues'] = [];
+	try {
+		const customers = [{name: 'x', keys: ['k'], priority: undefined}, {name: 'y', keys: ['j', 'k'], priority: undefined}];
+		checkRouting(config([route({timeoutMs: 0, services: [{service: 's', weight: 1}, {service: 'x', weight: 1}]}), route()], customers));
+	} catch (error) {
+		({issues} = error as RoutingConfigError);
+	}
+
+	expect(issues.map(({path}) => path.join('.'))).toEqual(['routes.0.services.1.service', 'routes.0.timeoutMs', 'routes.1', 'customers.1.keys.1']);
+});
+
 // Guards against requests that match a shorter prefix or another host.
 it.each([
 	{hostname: 'h.example', path: '/a/x', name: 'r'},
--- a/src/common/forwarding/check-routing.ts
+++ b/src/common/forwarding/check-routing.ts
@@ -1,54 +1,61 @@
-import {RoutingConfigError} from './routing-error.js';
+import {RoutingConfigError, type RoutingIssue} from './routing-error.js';
 import {type Route, type RoutingConfig} from './routing-config.js';
 
 /**
 Checks the constraints that the types cannot express.
 
-@throws RoutingConfigError with the first violation.
+@throws RoutingConfigError with the first violation as its message, and all of them.
 */
 export function checkRouting(cfg: RoutingConfig): RoutingConfig {
+	const issues = [...routeIssues(cfg), ...keyIssues(cfg)];
+	if (issues.length > 0) {
+		throw new RoutingConfigError(issues[0]!.message, undefined, issues);
+	}
+
+	return cfg;
+}
+
+function * routeIssues(cfg: RoutingConfig): Generator<RoutingIssue> {
 	const services = new Set(cfg.services.map(service => service.name));
 	const matchers = new Set<string>();
-	for (const route of cfg.routes) {
-		checkRoute(route, services);
+	for (const [index, route] of cfg.routes.entries()) {
+		yield * issuesOfRoute(route, ['routes', index], services);
 		const matcher = `${route.hostname.toLowerCase()} ${route.pathPrefix}`;
 		if (matchers.has(matcher)) {
-			throw new RoutingConfigError(`route ${route.name} has the host and prefix of another route`);
+			yield {path: ['routes', index], message: `route ${route.name} has the host and prefix of another route`};
 		}
 
 		matchers.add(matcher);
 	}
-
-	checkKeys(cfg);
-	return cfg;
 }
 
-function checkRoute({name, services, timeoutMs, pathPrefix}: Route, known: ReadonlySet<string>): void {
-	const unknown = services.find(({service}) => !known.has(service));
-	if (unknown) {
-		throw new RoutingConfigError(`route ${name} names the unknown service ${unknown.service}`);
+function * issuesOfRoute({name, services, timeoutMs, pathPrefix}: Route, path: RoutingIssue['path'], known: ReadonlySet<string>): Generator<RoutingIssue> {
+	for (const [index, {service}] of services.entries()) {
+		if (!known.has(service)) {
+			yield {path: [...path, 'services', index, 'service'], message: `route ${name} names the unknown service ${service}`};
+		}
 	}
 
 	if (!(services.reduce((sum, {weight}) => sum + weight, 0) > 0)) {
-		throw new RoutingConfigError(`the weights of route ${name} add up to 0`);
+		yield {path: [...path, 'services'], message: `the weights of route ${name} add up to 0`};
 	}
 
 	if (timeoutMs <= 0) {
-		throw new RoutingConfigError(`the timeout of route ${name} is 0`);
+		yield {path: [...path, 'timeoutMs'], message: `the timeout of route ${name} is 0`};
 	}
 
 	if (!pathPrefix.startsWith('/') || !pathPrefix.endsWith('/')) {
-		throw new RoutingConfigError(`the path prefix of route ${name} does not begin and end with a slash`);
+		yield {path: [...path, 'pathPrefix'], message: `the path prefix of route ${name} does not begin and end with a slash`};
 	}
 }
 
-function checkKeys({customers = []}: RoutingConfig): void {
+function * keyIssues({customers = []}: RoutingConfig): Generator<RoutingIssue> {
 	const owners = new Map<string, string>();
-	for (const {name, keys} of customers) {
-		for (const key of keys) {
+	for (const [index, {name, keys}] of customers.entries()) {
+		for (const [at, key] of keys.entries()) {
 			const owner = owners.get(key);
 			if (owner !== undefined && owner !== name) {
-				throw new RoutingConfigError(`customers ${owner} and ${name} share a key`);
+				yield {path: ['customers', index, 'keys', at], message: `customers ${owner} and ${name} share a key`};
 			}
 
 			owners.set(key, name);
