--- a/src/cli/cli.test.ts
+++ b/src/cli/cli.test.ts
@@ -40,6 +40,8 @@
 	files.set('good.json', JSON.stringify(document));
 	files.set('stale.json', JSON.stringify({...document, urgency: 'batch'}));
 	files.set('broken.yaml', 'service: [notes\nversions: }');
+	files.set('hidden.yaml', JSON.stringify({...document, objectives: [{firstTokenMs: 60_000, goodShare: 0.9}]}));
+	files.set('other-service.json', JSON.stringify({...document, service: 'other'}));
 	files.set('unknown-field.yaml', `${JSON.stringify({...document, colour: 'red'})}`);
 	files.set('two-objectives.yaml', JSON.stringify({...document, objectives: [{refusals: true, goodShare: 0.9}, {refusals: true, goodShare: 0.99}]}));
 	files.set('mixed-objective.yaml', JSON.stringify({...document, objectives: [{refusals: true, minRating: 0.5, goodShare: 0.9}]}));
@@ -92,6 +94,11 @@
 it.each([
 	{line: 'validate good.json', shows: 'is valid'},
 	{line: 'diff good.json', shows: 'SUBMITTED'},
+	{line: 'check good.json', shows: 'the document of notes is valid, no warnings'},
+	{line: 'check hidden.yaml', shows: 'objectives[0].firstTokenMs'},
+	{line: 'check good.json --against', shows: 'no difference from the document in force'},
+	{line: 'check stale.json --against', shows: 'urgency  normal   batch'},
+	{line: 'check other-service.json --against', shows: 'service'},
 	{line: 'show', shows: 'notes'},
 	{line: 'show notes', shows: '"betweenTokensMs"'},
 	{line: 'entries', shows: 'entry-3'},
@@ -133,6 +140,12 @@
 	{line: 'validate unknown-field.yaml', code: exitCode.invalid, says: 'colour'},
 	{line: 'validate two-objectives.yaml', code: exitCode.invalid, says: 'a second objective refusals'},
 	{line: 'validate mixed-objective.yaml', code: exitCode.invalid, says: 'objectives[0]'},
+	{line: 'check missing.json', code: exitCode.usage, says: 'missing.json'},
+	{line: 'check broken.yaml', code: exitCode.invalid, says: 'broken.yaml has 2 errors'},
+	{line: 'check unknown-field.yaml', code: exitCode.invalid, says: '1 error'},
+	{
+		line: 'check good.json --against', code: exitCode.unreachable, says: 'no reply from', server: 'http://127.0.0.1:1',
+	},
 	{line: 'submit broken.yaml', code: exitCode.invalid, says: 'broken.yaml'},
 	{line: 'submit stale.json --base 1', code: exitCode.conflict, says: 'was changed at revision'},
 	{line: 'withdraw notes other@1', code: exitCode.notFound, says: 'other@1 is not a version'},
--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -3,6 +3,8 @@
 	diff, remove, submit, validate, withdraw, type ChangeOptions,
 } from './change-commands.js';
 import {reportBurn, type BurnOptions} from './burn-command.js';
+import {check, type CheckOptions} from './check-command.js';
+import {type CheckedFormat} from './checked-format.js';
 import {CliError} from './cli-error.js';
 import {type CommandContext} from './command-context.js';
 import {explain} from './explain-command.js';
@@ -21,6 +23,8 @@
 /** Dependencies of `runCli`: output, files and environment variables of the process. */
 export interface CliEnvironment extends Output {
 	readonly env: Readonly<Record<string, string | undefined>>;
+	/** Formats of documents besides service documents. */
+	readonly formats?: readonly CheckedFormat[];
 	readFile(name: string): Promise<string>;
 	writeFile(name: string, text: string): Promise<void>;
 	wait(delayMs: number): Promise<void>;
@@ -78,6 +82,7 @@
 	};
 
 	add(cli.command('validate <file>', 'Check a service document'), async (ctx, file: string) => validate(ctx, file));
+	add(cli.command('check <file>', 'Find errors in a document, and parts of it that have no effect').option('--against', 'Compare it with the document in force'), async (ctx, file: string, options: CheckOptions) => check(ctx, file, options));
 	add(cli.command('diff <file>', 'Compare a service document with the present one'), async (ctx, file: string) => diff(ctx, file));
 	add(withChangeOptions(cli.command('submit <file>', 'Submit a service document ("-" reads standard input)')), async (ctx, file: string, options: ChangeOptions) => submit(ctx, file, options));
 	add(withChangeOptions(cli.command('withdraw <service> <version>', 'Forbid a version (model@version) for all new work')), async (ctx, service: string, ref: string, options: ChangeOptions) => withdraw(ctx, service, ref, options));
@@ -125,6 +130,7 @@
 	return {
 		client: new OperatorClient(url, environment.env.CATKINBEAM_OPERATOR_SECRET),
 		printer: new ResultPrinter(environment, json),
+		formats: environment.formats ?? [],
 		readFile: async name => environment.readFile(name),
 		writeFile: async (name, text) => environment.writeFile(name, text),
 		wait: async delayMs => environment.wait(delayMs),
--- a/src/cli/command-context.ts
+++ b/src/cli/command-context.ts
@@ -1,3 +1,4 @@
+import {type CheckedFormat} from './checked-format.js';
 import {type OperatorClient} from './operator-client.js';
 import {type ResultPrinter} from './output.js';
 
@@ -5,6 +6,8 @@
 export interface CommandContext {
 	readonly client: OperatorClient;
 	readonly printer: ResultPrinter;
+	/** Formats of documents besides service documents. */
+	readonly formats: readonly CheckedFormat[];
 	/** Reads a file, or standard input for `-`. */
 	readFile(name: string): Promise<string>;
 	writeFile(name: string, text: string): Promise<void>;
--- a/src/cli/operator-client.ts
+++ b/src/cli/operator-client.ts
@@ -8,6 +8,7 @@
 /** Request to the operator interface. */
 export interface OperatorRequest {
 	readonly method?: 'GET' | 'POST' | 'DELETE';
+	/** Path below `/operator/v1/`, or an absolute path. */
 	readonly path: string;
 	readonly query?: Readonly<Record<string, string | number | undefined>>;
 	readonly body?: string;
@@ -26,7 +27,7 @@
 
 	/** Sends a request and returns the reply with any status but 401. @throws CliError without a reply, or when the secret is refused. */
 	async call({method = 'GET', path, query = {}, body}: OperatorRequest): Promise<OperatorReply> {
-		const url = new URL(`/operator/v1/${path}`, this.server);
+		const url = new URL(path.startsWith('/') ? path : `/operator/v1/${path}`, this.server);
 		for (const [name, value] of Object.entries(query)) {
 			if (value !== undefined) {
 				url.searchParams.set(name, String(value));
@@ -60,6 +61,19 @@
 		throw new CliError(exitCode.unreachable, `${this.server}: ${message} (${code})`, 'Try another daemon with --server, or see "catkinbeam status".');
 	}
 
+	/** Sends a GET request and returns the body; undefined when there is no such object. @throws CliError with any other status than 200 and 404. */
+	async find<Value>(path: string): Promise<Value | undefined> {
+		try {
+			return await this.read<Value>(path);
+		} catch (error) {
+			if (error instanceof CliError && error.exitCode === exitCode.notFound) {
+				return undefined;
+			}
+
+			throw error;
+		}
+	}
+
 	private async _send(url: URL, method: 'GET' | 'POST' | 'DELETE', body: string | undefined): Promise<OperatorReply> {
 		try {
 			const res = await request(url, {
