Record repeated orders on evacuations as the last order of their zone

A withdrawal without an order in effect was acknowledged but not recorded, so a copy of an earlier evacuation that arrived later was applied, although a later order to the contrary had been acknowledged.

--- a/src/common/control/evacuation-table.ts
+++ b/src/common/control/evacuation-table.ts
@@ -8,7 +8,7 @@
 	readonly isActive: boolean;
 	/** Revision of the order. */
 	readonly revision: number;
-	/** Time of the order at the leader in Unix milliseconds, for display. */
+	/** Time since which it is in effect, at the leader in Unix milliseconds, for display. Repeated orders leave it unchanged. */
 	readonly at: number;
 }
 
@@ -30,16 +30,16 @@
 		return this._active;
 	}
 
-	/** Applies an order. One whose effect is in place already is accepted; one that a later order to the contrary has overtaken has no effect. */
+	/**
+	Applies an order. One that a later order to the contrary has overtaken has no effect. One whose effect is in place already is
+	accepted and becomes the last order, so that a late copy of an earlier order to the contrary does not undo it.
+	*/
 	apply(index: number, {type, zone, base, at}: ChangeEvacuation): ControlResult {
 		const last = this._orders.get(zone);
-		const isActive = type === 'evacuate-zone';
-		if ((last?.isActive ?? false) === isActive) {
-			return {status: 'accepted', revision: last?.revision ?? index};
-		}
-
 		const revision = last?.revision ?? 0;
-		if (base !== revision) {
+		const isActive = type === 'evacuate-zone';
+		const isRepeated = (last?.isActive ?? false) === isActive;
+		if (!isRepeated && base !== revision) {
 			return {
 				status: 'conflict', code: 'evacuation-changed', message: `the evacuation of ${zone} was changed at revision ${revision}, after revision ${base}`, revision,
 			};
@@ -50,9 +50,12 @@
 		}
 
 		this._orders.set(zone, {
-			zone, isActive, revision: index, at,
+			zone, isActive, revision: index, at: isRepeated && last ? last.at : at,
 		});
-		this._refresh();
+		if (!isRepeated) {
+			this._refresh();
+		}
+
 		return {status: 'accepted', revision: index};
 	}
 
