--- a/src/common/host/control-host.ts
+++ b/src/common/host/control-host.ts
@@ -1,17 +1,9 @@
-import {type AddressCheck} from '../base/address-check.js';
 import {type AppError} from '../base/app-error.js';
-import {type Clock} from '../base/clock.js';
-import {type Counters} from '../base/counters.js';
 import {DisposableStore} from '../base/disposable-store.js';
 import {type Disposable} from '../base/disposable.js';
 import {type Event} from '../base/event.js';
-import {type Logger} from '../base/logger.js';
-import {type PeerTransport} from '../base/peer-transport.js';
-import {type RandomSource} from '../base/random-source.js';
 import {sleep} from '../base/sleep.js';
-import {type TextCodec} from '../base/text-codec.js';
 import {LogMember} from '../consensus/log-member.js';
-import {type LogStorage} from '../consensus/log-storage.js';
 import {role} from '../consensus/role.js';
 import {controlCommandVersion} from '../control/command-versions.js';
 import {BackendHeartbeats} from '../control/backend-heartbeats.js';
@@ -26,45 +18,15 @@
 import {ControlState} from '../control/control-state.js';
 import {proposeTimeoutMs} from '../control/control-times.js';
 import {EntryList, type EntryListReply} from '../control/entry-list.js';
+import {type Evacuation} from '../control/evacuation-table.js';
 import {LeaderClient} from '../control/leader-client.js';
 import {type RoutingRecord} from '../control/routing-record.js';
 import {type ServiceRollout} from '../control/service-rollout.js';
 import {VotersSource} from '../control/voters-section.js';
-import {type ExposureLimit} from '../release/exposure-limit.js';
 import {CrashSupervisor} from '../crashes/crash-supervisor.js';
 import {ReleaseSupervisor} from '../release/release-supervisor.js';
 import {StickySessionExchange} from '../release/sticky-sessions.js';
-
-/** Options of `ControlHost`. */
-export interface ControlHostOptions {
-	readonly region: string;
-	/** Peer names of the hosts that create the control group. */
-	readonly seeds: () => readonly string[];
-	/** Whether this host may create the control group. */
-	readonly isBootstrap: boolean;
-	readonly clock: Clock;
-	/** Clock time at which the process started. */
-	readonly startedAt: number;
-	readonly random: RandomSource;
-	readonly transport: PeerTransport;
-	readonly counters: Counters;
-	readonly logger: Logger;
-	readonly storage: LogStorage;
-	/** Tells whether backend servers that entry hosts report have ended. */
-	readonly addresses: AddressCheck;
-	/** Time in milliseconds after a request for which its session counts as active. */
-	readonly sessionMs: number;
-	/** Limit on the requests that a release under a roll-out receives. */
-	readonly exposureLimit: ExposureLimit;
-	/** Time in seconds for which callers cache the list of entry hosts. */
-	readonly keepSeconds: number;
-	/** Codec of routing configurations in the log and in transfers; all hosts use the same one. */
-	readonly codec: TextCodec;
-	/** Time in milliseconds after its acknowledgement at which a routing configuration must be in force. */
-	readonly configurationBoundMs?: number;
-	/** Returns the times in milliseconds for which servers are cold after their start, by service of a routing configuration. Without it no server counts as cold. */
-	readonly parseColdStarts?: (source: string) => ReadonlyMap<string, number>;
-}
+import {type ControlHostOptions} from './control-host-options.js';
 
 /** Minimum interval in milliseconds between two batches of log entries: with nine members, bursts of changes take a quarter of a small processor. */
 const appendIntervalMs = 40;
@@ -134,6 +96,11 @@
 		return this._state.routing;
 	}
 
+	/** Last order on the evacuation of each zone that this host has applied; they may be stale. */
+	get evacuations(): ReadonlyMap<string, Evacuation> {
+		return this._state.evacuations;
+	}
+
 	/** Returns the list of entry hosts for a caller. */
 	entries(caller: string, zone: string): EntryListReply {
 		return this._entryList.for(caller, zone);
@@ -158,7 +125,7 @@
 	*/
 	async changeEvacuation(zone: string, isActive: boolean): Promise<ControlResult> {
 		return this._propose({
-			type: isActive ? 'evacuate-zone' : 'end-evacuation', zone, base: this._state.evacuations.get(zone)?.revision ?? 0, at: this._options.clock.wallTime(),
+			type: isActive ? 'evacuate-zone' : 'end-evacuation', zone, base: this.evacuations.get(zone)?.revision ?? 0, at: this._options.clock.wallTime(),
 		});
 	}
 
