--- a/src/common/host/control-host.test.ts
+++ b/src/common/host/control-host.test.ts
@@ -1,83 +1,32 @@
 import {expect, it} from 'vitest';
-import {ManualClock} from '../../testing/manual-clock.js';
-import {MemoryDisk} from '../../testing/memory-disk.js';
-import {MemoryNetwork} from '../../testing/memory-network.js';
-import {RecordingLogger} from '../../testing/recording-logger.js';
+import {ControlHostGroup} from '../../testing/control-host-group.js';
 import {testBackend} from '../../testing/forwarder-fixture.js';
-import {nullCounters} from '../base/null-counters.js';
-import {SeededRandom} from '../base/seeded-random.js';
-import {plainTextCodec} from '../base/text-codec.js';
-import {DiskLogStorage} from '../consensus/disk-log-storage.js';
-import {ControlHost} from './control-host.js';
-
-const names = ['a', 'b', 'c'];
-
-async function startGroup(seed: number) {
-	const clock = new ManualClock();
-	const logger = new RecordingLogger();
-	const random = new SeededRandom(seed);
-	const network = new MemoryNetwork(clock, random.fork('network'));
-	const hosts = await Promise.all(names.map(async name => ControlHost.start({
-		region: 'r',
-		seeds: () => names,
-		isBootstrap: true,
-		clock,
-		startedAt: clock.now(),
-		random: random.fork(name),
-		transport: network.attach(name),
-		counters: nullCounters,
-		logger,
-		storage: new DiskLogStorage(new MemoryDisk(clock, random.fork(`disk ${name}`)).attach()),
-		addresses: {refusesConnections: async () => false},
-		sessionMs: 60_000,
-		exposureLimit: {share: 0.15, slack: 30},
-		keepSeconds: 1,
-		codec: plainTextCodec,
-	})));
-	await clock.advanceUntil(() => hosts[0]!.leader !== undefined, 10_000);
-	const settle = async <T>(promise: Promise<T>): Promise<T> => {
-		let isSettled = false;
-		void (async () => {
-			await Promise.allSettled([promise]);
-			isSettled = true;
-		})();
-
-		await clock.advanceUntil(() => isSettled, 20_000);
-		return promise;
-	};
-
-	return {
-		clock, network, hosts, settle, removals: () => logger.of('backend server removed, no heartbeat').length,
-	};
-}
 
 // Guards against a leave that is acknowledged without effect by a host that has not heard of the server yet.
 it.each([1, 2, 3])('removes a server of which the asked host does not know yet, seed %i', async seed => {
-	const {clock, network, hosts, settle} = await startGroup(seed);
-	const leader = names.indexOf(hosts[0]!.leader!);
+	const group = await ControlHostGroup.start(seed);
+	const {clock, names, network, hosts} = group;
+	const leader = group.leader();
 	const behind = (leader + 1) % 3;
 	network.partition([names[behind]!], names.filter((_, index) => index !== behind));
 	const server = testBackend('s-1');
-	expect(await settle(hosts[leader]!.announce(server))).toBe(true);
+	expect(await group.settle(hosts[leader]!.announce(server))).toBe(true);
 	network.heal();
-	await settle(hosts[behind]!.leave(server.id));
+	await group.settle(hosts[behind]!.leave(server.id));
 	await clock.advance(100);
-	expect(await settle(hosts[leader]!.announce(server))).toBe(false);
-	for (const host of hosts) {
-		host.dispose();
-	}
+	expect(await group.settle(hosts[leader]!.announce(server))).toBe(false);
+	group.dispose();
 });
 
 // Guards against a leave that is acknowledged by a host which cannot tell whether the server is registered.
 it('acknowledges no leave of an unknown server while it is cut off', async () => {
-	const {network, hosts, settle} = await startGroup(1);
-	network.partition([names[2]!], names.slice(0, 2));
-	await expect(settle(hosts[2]!.leave('s-1'))).rejects.toMatchObject({code: 'control-unavailable'});
+	const group = await ControlHostGroup.start(1);
+	const {names, network, hosts} = group;
+	network.partition([names[2]], names.slice(0, 2));
+	await expect(group.settle(hosts[2]!.leave('s-1'))).rejects.toMatchObject({code: 'control-unavailable'});
 	network.heal();
-	await settle(hosts[2]!.leave('s-2'));
-	for (const host of hosts) {
-		host.dispose();
-	}
+	await group.settle(hosts[2]!.leave('s-2'));
+	group.dispose();
 });
 
 // Guards against servers that are removed although a host that does not lead acknowledges their heartbeats.
@@ -86,10 +35,11 @@
 	{name: 'at one follower that is cut off for a while', cutMs: 8000, targets: (leader: number) => [(leader + 1) % 3, (leader + 2) % 3]},
 	{name: 'at each follower in turn', cutMs: 0, targets: (leader: number, beat: number) => [(leader + 1 + (beat % 2)) % 3]},
 ])('keeps a server listed whose heartbeats arrive $name', async ({cutMs, targets}) => {
-	const {clock, network, hosts, settle, removals} = await startGroup(4);
-	const leader = names.indexOf(hosts[0]!.leader!);
+	const group = await ControlHostGroup.start(4);
+	const {clock, names, network, hosts} = group;
+	const leader = group.leader();
 	const server = testBackend('s-1');
-	expect(await settle(hosts[leader]!.announce(server))).toBe(true);
+	expect(await group.settle(hosts[leader]!.announce(server))).toBe(true);
 	await clock.advance(1000);
 	for (let beat = 0; beat < 40; beat++) {
 		if (beat === 2 && cutMs > 0) {
@@ -101,7 +51,7 @@
 
 		for (const target of targets(leader, beat)) {
 			// A server tries the next host only when a heartbeat is not acknowledged.
-			const [result] = await settle(Promise.allSettled([hosts[target]!.announce(server)])); // eslint-disable-line no-await-in-loop -- one after another
+			const [result] = await group.settle(Promise.allSettled([hosts[target]!.announce(server)])); // eslint-disable-line no-await-in-loop -- one after another
 			const outcome = result.status === 'fulfilled' ? result.value : undefined;
 			expect(outcome ?? true).toBe(true);
 			if (outcome) {
@@ -110,41 +60,37 @@
 		}
 
 		await clock.advance(1000); // eslint-disable-line no-await-in-loop -- one after another
-		expect(removals()).toBe(0);
+		expect(group.removals()).toBe(0);
 	}
 
-	for (const host of hosts) {
-		host.dispose();
-	}
+	group.dispose();
 });
 
 // Guards against a server that is removed at once because it has registered at a host that does not lead.
 it('keeps a server that registers at a follower long after the start of the leadership', async () => {
-	const {clock, hosts, settle, removals} = await startGroup(5);
-	const leader = names.indexOf(hosts[0]!.leader!);
+	const group = await ControlHostGroup.start(5);
+	const {clock, hosts} = group;
+	const leader = group.leader();
 	await clock.advance(20_000);
 	const server = testBackend('s-1');
-	expect(await settle(hosts[(leader + 1) % 3]!.announce(server))).toBe(true);
+	expect(await group.settle(hosts[(leader + 1) % 3]!.announce(server))).toBe(true);
 	await clock.advance(3000);
-	expect(removals()).toBe(0);
-	for (const host of hosts) {
-		host.dispose();
-	}
+	expect(group.removals()).toBe(0);
+	group.dispose();
 });
 
 // Guards against a dead server that stays listed.
 it('removes a server whose heartbeats at a follower have stopped', async () => {
-	const {clock, hosts, settle, removals} = await startGroup(6);
-	const leader = names.indexOf(hosts[0]!.leader!);
+	const group = await ControlHostGroup.start(6);
+	const {clock, hosts} = group;
+	const leader = group.leader();
 	const server = testBackend('s-1');
-	await settle(hosts[(leader + 1) % 3]!.announce(server));
+	await group.settle(hosts[(leader + 1) % 3]!.announce(server));
 	await clock.advance(5000);
-	await settle(hosts[(leader + 1) % 3]!.announce(server));
+	await group.settle(hosts[(leader + 1) % 3]!.announce(server));
 	await clock.advance(12_000);
-	expect(removals()).toBe(0);
+	expect(group.removals()).toBe(0);
 	await clock.advance(6000);
-	expect(removals()).toBe(1);
-	for (const host of hosts) {
-		host.dispose();
-	}
+	expect(group.removals()).toBe(1);
+	group.dispose();
 });
