Pass a limit of refusals on to the servers of evacuated zones

Since evacuations, a limit of refusals that one server names reached only the servers in open zones. Those of an evacuated zone would have been sent too many requests on their return, until each of them had named the limit itself.

--- a/src/common/forwarding/record-server-terms.ts
+++ b/src/common/forwarding/record-server-terms.ts
@@ -37,8 +37,8 @@
 	}
 
 	if (maxRefusalsPerSecond !== undefined) {
-		// All servers of a service become brittle together; this host may not have asked the others lately.
-		for (const {refusalLimit} of pool.openServers(service)) {
+		// All servers of a service become brittle together; this host may not have asked the others lately. Those in evacuated zones return later.
+		for (const {refusalLimit} of pool.notDraining(service)) {
 			refusalLimit.update(maxRefusalsPerSecond, sentAt, now);
 		}
 	}
--- a/src/common/forwarding/server-pool.ts
+++ b/src/common/forwarding/server-pool.ts
@@ -131,14 +131,19 @@
 		this._dropUnlisted(now);
 	}
 
+	/** Returns the backend servers of a service that are neither draining nor leaving, also those in evacuated zones. */
+	notDraining(service: string): ServerRecord[] {
+		return (this._byService.get(service) ?? []).filter(({server, isLeaving}) => !server.isDraining && !isLeaving);
+	}
+
 	/** Returns the backend servers of a service that are neither draining nor leaving nor in an evacuated zone, whatever their health. */
 	openServers(service: string): ServerRecord[] {
-		return this._notDraining(service).filter(record => !this._isEvacuated(record));
+		return this.notDraining(service).filter(record => !this._isEvacuated(record));
 	}
 
 	/** Whether all backend servers of a service that are neither draining nor leaving are in evacuated zones. */
 	isEvacuated(service: string): boolean {
-		const servers = this._notDraining(service);
+		const servers = this.notDraining(service);
 		return servers.length > 0 && servers.every(record => this._isEvacuated(record));
 	}
 
@@ -148,10 +153,6 @@
 		return this._records.get(key) === record && !this._unlistedAt.has(key) && server.services.includes(service) && !server.isDraining && !isLeaving && !this._isEvacuated(record);
 	}
 
-	private _notDraining(service: string): ServerRecord[] {
-		return (this._byService.get(service) ?? []).filter(({server, isLeaving}) => !server.isDraining && !isLeaving);
-	}
-
 	private _isEvacuated({server}: ServerRecord): boolean {
 		return this._evacuatedZones.has(server.zone);
 	}
