Test that requests keep away from evacuated zones

First attempts, retries, escalation, resumption, requests that wait, hand-over and roll-outs; 118 cases pass. Without the check before the write six of them fail.

--- a/src/common/forwarding/aged-decisions.test.ts
+++ b/src/common/forwarding/aged-decisions.test.ts
@@ -48,6 +48,16 @@
 	{
 		name: 'the server serves another service', change: relist({services: ['t']}), status: 200, server: 'another',
 	},
+	{
+		name: 'the zone of the server is evacuated', change({pool, clock}, {terms}) {
+			pool.update(servers.map(server => ({...server, zone: server.id === terms.serverId ? 'y' : server.zone})), clock.now(), new Set(['y']));
+		}, status: 200, server: 'another',
+	},
+	{
+		name: 'all zones are evacuated', change({pool, clock}) {
+			pool.update(servers, clock.now(), new Set(['z']));
+		}, status: 503, code: 'zone-evacuated',
+	},
 	{
 		name: 'its release gets no more requests', change({rollouts}) {
 			rollouts.set('s', rollout);
--- a/src/common/forwarding/aged-waits.test.ts
+++ b/src/common/forwarding/aged-waits.test.ts
@@ -178,6 +178,14 @@
 		pool.update(servers.map(server => ({...server, isDraining: server !== left})), clock.now());
 		peers.update(hosts.filter(({host}) => !used.has(host)));
 	},
+	'all servers but one are in evacuated zones'({pool, port, clock}) {
+		const used = new Set(port.attempts.map(({terms}) => terms.serverId));
+		const left = servers.find(({id}) => !used.has(id))!;
+		pool.update(servers.map(server => ({...server, zone: server === left ? 'z' : 'y'})), clock.now(), new Set(['y']));
+	},
+	'all servers are in evacuated zones'({pool, clock}) {
+		pool.update(servers, clock.now(), new Set(['z']));
+	},
 	'the route is removed'({replaceTable}) {
 		replaceTable(testTable([], [shop]));
 	},
@@ -194,17 +202,17 @@
 
 /** What comes of a request for each change, in the order of `changes`. */
 const outcomes: Readonly<Record<string, readonly string[]>> = {
-	'lease queue': ['sent to an open server', '404 no', '401 no', '503 no', 'nothing'],
-	'confirmation queue': ['sent to an open server', '404 no', '401 no', '503 no', 'nothing'],
-	'queue for a connection': ['sent to an open server', '404 no', '401 no', '503 no', 'nothing'],
-	connection: ['sent to an open server', '404 no', '401 no', '503 no', 'nothing'],
-	'connection to another host': ['written', '404 no', '401 no', '503 no', 'nothing'],
-	retry: ['sent to an open server', '502 unknown', '502 unknown', '502 unknown', 'nothing'],
-	'silence of a server': ['sent to an open server', 'nothing', 'nothing', 'nothing', 'nothing'],
-	resumption: ['sent to an open server', 'cut', 'cut', 'cut', 'nothing'],
-	'escalation, before the larger model is asked': ['sent to an open server', 'answer begun', 'answer begun', 'answer begun', 'nothing'],
-	'held answer, while the larger model has no connection': ['sent to an open server', 'answer begun', 'answer begun', 'answer begun', 'nothing'],
-	'caller that does not read': ['answered', 'answered', 'answered', 'answered', 'nothing'],
+	'lease queue': ['sent to an open server', 'sent to an open server', '503 no', '404 no', '401 no', '503 no', 'nothing'],
+	'confirmation queue': ['sent to an open server', 'sent to an open server', '503 no', '404 no', '401 no', '503 no', 'nothing'],
+	'queue for a connection': ['sent to an open server', 'sent to an open server', '503 no', '404 no', '401 no', '503 no', 'nothing'],
+	connection: ['sent to an open server', 'sent to an open server', '503 no', '404 no', '401 no', '503 no', 'nothing'],
+	'connection to another host': ['written', 'written', 'written', '404 no', '401 no', '503 no', 'nothing'],
+	retry: ['sent to an open server', 'sent to an open server', '502 unknown', '502 unknown', '502 unknown', '502 unknown', 'nothing'],
+	'silence of a server': ['sent to an open server', 'sent to an open server', 'nothing', 'nothing', 'nothing', 'nothing', 'nothing'],
+	resumption: ['sent to an open server', 'sent to an open server', 'cut', 'cut', 'cut', 'cut', 'nothing'],
+	'escalation, before the larger model is asked': ['sent to an open server', 'sent to an open server', 'answer begun', 'answer begun', 'answer begun', 'answer begun', 'nothing'],
+	'held answer, while the larger model has no connection': ['sent to an open server', 'sent to an open server', 'answer begun', 'answer begun', 'answer begun', 'answer begun', 'nothing'],
+	'caller that does not read': ['answered', 'answered', 'answered', 'answered', 'answered', 'answered', 'nothing'],
 };
 
 const cases = Object.entries(waits).flatMap(([wait, {kind, begin}]) => Object.entries(changes).map(([name, change], index) => ({
