--- a/src/common/host/forward-host.test.ts
+++ b/src/common/host/forward-host.test.ts
@@ -25,6 +25,7 @@
 
 async function start(seed: number, {startupMs = 3000, boundMs = configurationBoundMs} = {}) {
 	const counters = new RecordingCounters();
+	const port = new ScriptedPort(scriptedAnswers.good);
 	const cluster = await ControlCluster.start([], seed);
 	const {clock} = cluster;
 	const edge = new ForwardHost({
@@ -38,7 +39,7 @@
 		transport: cluster.network.attach(host),
 		counters,
 		logger: nullLogger,
-		port: new ScriptedPort(scriptedAnswers.good),
+		port,
 		peerPort: new ScriptedPort(),
 		addresses: {acceptsConnections: async () => true, refusesConnections: async () => false},
 		digests: {digest: ({message}) => message.target},
@@ -70,7 +71,7 @@
 	};
 
 	return {
-		cluster, clock, edge, leader, send, counters,
+		cluster, clock, edge, leader, send, counters, port,
 	};
 }
 
@@ -139,3 +140,69 @@
 	edge.dispose();
 	cluster.dispose();
 });
+
+const orders = Array.from({length: 12}, (_, index) => ({isCut: index > 1, cutAfterMs: index * 100}));
+
+// Guards against a request that reaches a server of an evacuated zone later than 5 s after the order, also from a host that has lost its contact.
+it.each(orders)('sends nothing to an evacuated zone 5 s after the order, cut off: $isCut, $cutAfterMs ms', async ({isCut, cutAfterMs}) => {
+	const {cluster, clock, edge, leader, send, counters, port} = await start(cutAfterMs + 1);
+	cluster.log.commandVersion = 3;
+	await cluster.settle(leader.propose({type: 'backend-joined', server: testBackend('bb', {zone: 'y'}), at: clock.wallTime()}));
+	await clock.advance(1000 + cutAfterMs);
+	if (isCut) {
+		cluster.network.partition([host], cluster.voters);
+	}
+
+	const order = async (type: 'evacuate-zone' | 'end-evacuation') => cluster.settle(leader.propose({
+		type, zone: 'y', base: leader.view.evacuations.get('y')?.revision ?? 0, at: 0,
+	}));
+	await order('evacuate-zone');
+	const acknowledgedAt = clock.now();
+	const sentAt: number[] = [];
+	port.onAttempt = attempt => {
+		if (attempt.terms.serverId === 'bb') {
+			sentAt.push(clock.now() - acknowledgedAt);
+		}
+
+		scriptedAnswers.good(attempt);
+	};
+
+	const sendFor = async (ms: number) => {
+		for (const end = clock.now() + ms; clock.now() < end;) {
+			send('/old/x');
+			await clock.advance(50); // eslint-disable-line no-await-in-loop -- requests follow each other
+		}
+	};
+
+	await sendFor(isCut ? 8000 : 1000);
+	// A host that is cut off sends requests there until its lease ends.
+	expect(Math.max(0, ...sentAt)).toBeLessThanOrEqual(isCut ? 5000 : 100);
+	expect(sentAt.length > 10).toBe(isCut);
+	if (!isCut) {
+		expect(counters.gauges.get('forward.evacuated-zones')).toBe(1);
+		await order('end-evacuation');
+		await sendFor(1000);
+		expect(counters.gauges.get('forward.evacuated-zones')).toBe(0);
+		expect(sentAt.length).toBeGreaterThan(5);
+	}
+
+	edge.dispose();
+	cluster.dispose();
+});
+
+// Guards against requests that wait for a connection to a server of an evacuated zone until one is free.
+it('refuses the requests that wait for a connection as soon as all servers are in evacuated zones', async () => {
+	const {cluster, clock, edge, leader, send, port} = await start(1);
+	cluster.log.commandVersion = 3;
+	port.onAttempt = undefined;
+	const sent = Array.from({length: 11}, () => send('/old/x'));
+	const running = port.attempts.length;
+	expect(running).toBeLessThan(sent.length);
+	await cluster.settle(leader.propose({
+		type: 'evacuate-zone', zone: 'z', base: 0, at: 0,
+	}));
+	await clock.advance(100);
+	expect(sent.map(item => item.sink.refusal?.code)).toEqual(sent.map((_, index) => index < running ? undefined : 'zone-evacuated'));
+	edge.dispose();
+	cluster.dispose();
+});
--- a/src/testing/recording-counters.ts
+++ b/src/testing/recording-counters.ts
@@ -1,19 +1,20 @@
 import {type Counters} from '../common/base/counters.js';
 
-/** Counters that record their sums by name. */
+/** Counters that record their sums and the last values of gauges by name. */
 export class RecordingCounters implements Counters {
 	readonly sums = new Map<string, number>();
+	readonly gauges = new Map<string, number>();
 
 	increment(name: string, value = 1): void {
 		this.sums.set(name, this.sum(name) + value);
 	}
 
-	gauge(): void {
-		// Only sums are recorded.
+	gauge(name: string, value: number): void {
+		this.gauges.set(name, value);
 	}
 
 	timing(): void {
-		// Only sums are recorded.
+		// Timings are not recorded.
 	}
 
 	/** Returns the sum of a counter over all tags. */
