--- a/src/common/entry/attempt-runner.test.ts
+++ b/src/common/entry/attempt-runner.test.ts
@@ -37,6 +37,9 @@
 	readonly clock = new ManualClock();
 	readonly calls: EngineCall[] = [];
 	readonly aborted: string[] = [];
+	readonly evacuatedZones = new Set<string>();
+	/** Called with each call of an engine, before it is answered. */
+	onCall: (() => void) | undefined;
 	readonly retryBudget: RetryBudget;
 	readonly runner: AttemptRunner;
 	private readonly _billed: BilledRequest;
@@ -46,7 +49,7 @@
 		const document = parseDocument(documentText);
 		const [customer] = document.customers;
 		const servers = Object.keys(_behaviours).map(id => ({
-			id, incarnation: 1, offers: [{ref: 'm@1', inputCost: 1_000_000, outputCost: 1_000_000}],
+			id, incarnation: 1, zone: `zone-${id}`, offers: [{ref: 'm@1', inputCost: 1_000_000, outputCost: 1_000_000}],
 		} as unknown as BackendServer));
 		const firstTokenTimes = new FirstTokenTimes();
 		for (let index = 0; index < 20; index++) {
@@ -59,7 +62,7 @@
 			firstTokenTimes,
 			retryBudget: this.retryBudget,
 			view: {
-				revision: 7, documents: new Map([['notes', {document, withdrawn: []}]]), backendServers: new Map(servers.map(server => [server.id, server])), isQuarantined: () => false,
+				revision: 7, documents: new Map([['notes', {document, withdrawn: []}]]), backendServers: new Map(servers.map(server => [server.id, server])), isQuarantined: () => false, evacuatedZones: this.evacuatedZones,
 			},
 			lease: {
 				isValid: () => true, expiresAt: 4000, currentUntil: 4000, isSuperseded: false,
@@ -100,6 +103,11 @@
 
 	private async _call(call: EngineCall, signal: AbortSignal): Promise<EngineAnswer> {
 		this.calls.push(call);
+		this.onCall?.();
+		if (!call.mayStart()) {
+			throw new EngineError('zone-evacuated', '', executionStatus.no);
+		}
+
 		const behaviour = this._behaviours[call.server.id]!;
 		if ('fails' in behaviour) {
 			throw behaviour.fails;
@@ -183,6 +191,44 @@
 	expect(before - fixture.retryBudget.available).toBe(sent.length - 1);
 });
 
+// Guards against attempts, retries and hedges at an engine of an evacuated zone, and against one that is written there by an earlier choice.
+it.each<{name: string; before?: readonly string[]; later?: readonly string[]; engines: Readonly<Record<string, Behaviour>>; sent: readonly string[]; result: string}>([
+	{
+		name: 'a first attempt', before: ['zone-a'], engines: {a: {firstTokenMs: 1}, b: {firstTokenMs: 1}}, sent: ['b'], result: 'b',
+	},
+	{
+		name: 'an attempt that is not written yet', later: ['zone-a'], engines: {a: {firstTokenMs: 1}, b: {firstTokenMs: 1}}, sent: ['a', 'b'], result: 'b',
+	},
+	{
+		name: 'a retry', before: ['zone-b'], engines: {a: {fails: new EngineError('refused', '', executionStatus.no)}, b: {firstTokenMs: 1}}, sent: ['a'], result: 'refused',
+	},
+	{
+		name: 'a hedge', before: ['zone-b'], engines: {a: {firstTokenMs: 500}, b: {firstTokenMs: 1}}, sent: ['a'], result: 'a',
+	},
+	{
+		name: 'an attempt while all zones are evacuated', before: ['zone-a', 'zone-b'], engines: {a: {firstTokenMs: 1}, b: {firstTokenMs: 1}}, sent: [], result: 'version-unavailable',
+	},
+	{
+		name: 'an attempt when all zones are evacuated before it is written', later: ['zone-a', 'zone-b'], engines: {a: {firstTokenMs: 1}, b: {firstTokenMs: 1}}, sent: ['a'], result: 'zone-evacuated',
+	},
+])('keeps $name away from evacuated zones', async ({before = [], later = [], engines, sent, result}) => {
+	const fixture = new AttemptRunnerFixture(engines);
+	const evacuate = (zones: readonly string[]) => {
+		for (const zone of zones) {
+			fixture.evacuatedZones.add(zone);
+		}
+	};
+
+	evacuate(before);
+	fixture.onCall = () => {
+		evacuate(later);
+	};
+
+	expect(await fixture.run()).toBe(result);
+	expect(fixture.calls.map(({server}) => server.id)).toEqual(sent);
+	expect(fixture.runner.log.ran).toBe(['a', 'b'].includes(result) ? 'yes' : 'no');
+});
+
 // Guards against engines that keep working after the deadline of the request, or start after the lease expired.
 it('sends the deadline and the lease expiry to the engine', async () => {
 	const fixture = new AttemptRunnerFixture({a: {firstTokenMs: 1}});
--- a/src/common/entry/engine-attempt.ts
+++ b/src/common/entry/engine-attempt.ts
@@ -14,6 +14,7 @@
 import {type EntryServices} from './entry-services.js';
 import {failureDetails} from './failure-details.js';
 import {executionStatus, type ExecutionStatus} from './execution-status.js';
+import {isInOpenZone} from './open-servers.js';
 import {type RequestContext} from './request-context.js';
 import {type ChunkListener} from './step-run.js';
 import {throwIfCancelled} from './throw-if-cancelled.js';
@@ -134,6 +135,7 @@
 			revision: view.revision,
 			startWithinMs: deadline.cappedAt(lease.expiresAt).remainingMs,
 			deadlineMs: deadline.remainingMs,
+			mayStart: () => isInOpenZone(view, server),
 			...(resumeAfter && {resumeAfter}),
 		};
 	}
--- a/src/common/entry/engine-client.ts
+++ b/src/common/entry/engine-client.ts
@@ -19,6 +19,8 @@
 	readonly startWithinMs: number;
 	/** Time in milliseconds until the deadline of the request; a later answer is not used. */
 	readonly deadlineMs: number;
+	/** Whether the request may still be written to the server; asked immediately before it is. */
+	readonly mayStart: () => boolean;
 	/** Answer of an interrupted attempt so far; the engine continues after it. */
 	readonly resumeAfter?: {readonly text: string; readonly tokens: number};
 }
--- a/src/common/entry/engine-error.ts
+++ b/src/common/entry/engine-error.ts
@@ -5,7 +5,7 @@
 export class EngineError extends AppError {
 	/** `ran` tells whether the engine ran the attempt; it is `no` only when no byte was written or the engine refused. */
 	constructor(
-		readonly code: 'unreachable' | 'refused' | 'broken' | 'engine-failed' | 'attempt-mismatch' | 'cancelled',
+		readonly code: 'unreachable' | 'refused' | 'broken' | 'engine-failed' | 'attempt-mismatch' | 'cancelled' | 'zone-evacuated',
 		message: string,
 		readonly ran: ExecutionStatus,
 		options?: {cause?: unknown},
--- a/src/common/entry/plain-request.ts
+++ b/src/common/entry/plain-request.ts
@@ -9,6 +9,7 @@
 import {type EntryServices} from './entry-services.js';
 import {executionStatus, type ExecutionStatus} from './execution-status.js';
 import {idempotencyRefusal} from './idempotency-refusal.js';
+import {isInOpenZone} from './open-servers.js';
 import {RefusalError} from './refusal-error.js';
 import {type FailureContext, failureOutcome, toRefusal} from './request-failure.js';
 import {throwIfCancelled} from './throw-if-cancelled.js';
@@ -150,7 +151,7 @@
 		}
 
 		const isAllowed = view.documents.get(service)?.document.customers.some(({name, keySha256}) => name === this._ctx.customer.name && keySha256 === this._ctx.customer.keySha256);
-		const servers = [...view.backendServers.values()].filter(server => server.services.includes(service) && !this._failed.has(server.id));
+		const servers = [...view.backendServers.values()].filter(server => server.services.includes(service) && isInOpenZone(view, server) && !this._failed.has(server.id));
 		const server = isAllowed ? selector.select(this._selection, servers) : undefined;
 		if (!server) {
 			throw new RefusalError('no-backend-server', `No backend server can take a request for ${service} now.`, {status: 503, ran: this._ran, retryAfterSeconds: 1});
--- a/src/common/entry/version-candidates.ts
+++ b/src/common/entry/version-candidates.ts
@@ -2,9 +2,10 @@
 import {type ControlView} from '../control/control-view.js';
 import {type VersionRef} from '../documents/version-ref.js';
 import {allowedVersions} from './caller-identity.js';
+import {isInOpenZone} from './open-servers.js';
 import {type RequestContext} from './request-context.js';
 
-/** A version that a request may use now, and the backend servers that serve it. */
+/** A version that a request may use now, and the backend servers in open zones that serve it. */
 export interface AvailableVersion {
 	readonly ref: VersionRef;
 	readonly inputCost: number;
@@ -44,7 +45,7 @@
 	let outputCost = 0;
 	for (const server of view.backendServers.values()) {
 		const offer = server.offers.find(offer => offer.ref === ref);
-		if (offer) {
+		if (offer && isInOpenZone(view, server)) {
 			servers.push(server);
 			// Prices of a version may differ between pools; the plan uses the highest.
 			inputCost = Math.max(inputCost, offer.inputCost);
--- a/src/daemon/plain-handler.ts
+++ b/src/daemon/plain-handler.ts
@@ -7,10 +7,12 @@
 import {DeadlineSignal} from '../common/entry/deadline-signal.js';
 import {type EntryServices} from '../common/entry/entry-services.js';
 import {executionStatus} from '../common/entry/execution-status.js';
+import {isInOpenZone} from '../common/entry/open-servers.js';
 import {RefusalError} from '../common/entry/refusal-error.js';
 import {type PlainExchange, PlainRequest} from '../common/entry/plain-request.js';
 import {isConnectError} from '../node/connect-error.js';
 import {nonEmptyData} from '../node/non-empty-data.js';
+import {NotStartedError, startCheck} from '../node/start-check.js';
 import {timedConnector} from '../node/timed-connector.js';
 import {idHeaders, setIdHeaders} from './answer-headers.js';
 import {callerSignal} from './caller-signal.js';
@@ -99,7 +101,7 @@
 	/** Sends the request to a backend server. @throws RefusalError that states whether the request ran. */
 	private async _send(req: IncomingMessage, url: URL, {server, body, signal}: {server: BackendServer; body: ForwardedBody; signal: AbortSignal}): Promise<Dispatcher.ResponseData> {
 		try {
-			return await this._agent.request({
+			return await this._agent.compose(startCheck(() => isInOpenZone(this._services.view, server))).request({
 				origin: `http://${server.address}`,
 				path: `/${url.pathname.split('/').slice(3).join('/')}${url.search}`,
 				method: req.method as Dispatcher.HttpMethod,
@@ -114,7 +116,7 @@
 			}
 
 			const {code} = error as {code?: string};
-			const isWritten = !isConnectError(error) || !body.canSend;
+			const isWritten = !(error instanceof NotStartedError) && (!isConnectError(error) || !body.canSend);
 			throw new RefusalError('backend-failed', `The backend server gave no answer (${code ?? 'unknown error'}).`, {status: 502, ran: isWritten ? executionStatus.unknown : executionStatus.no, cause: error});
 		}
 	}
--- a/src/node/engine-http-exchange.ts
+++ b/src/node/engine-http-exchange.ts
@@ -46,6 +46,12 @@
 			return;
 		}
 
+		if (!this._call.mayStart()) {
+			this._fail(new EngineError('zone-evacuated', 'the zone of the engine is under evacuation', executionStatus.no));
+			controller.abort(new Error('zone evacuated'));
+			return;
+		}
+
 		this._controller = controller;
 	}
 
