--- a/src/cli/cli.test.ts
+++ b/src/cli/cli.test.ts
@@ -108,6 +108,7 @@
 	{line: 'status --all', shows: 'requests with unknown outcome: none'},
 	{line: 'rollouts', shows: 'PERCENTAGE'},
 	{line: 'quarantines', shows: 'REASON'},
+	{line: 'evacuations', shows: 'SINCE'},
 	{line: 'explain REQUEST', shows: 'slow@2, accepted in any case'},
 	{line: 'explain REQUEST', shows: 'at entry host entry-3'},
 	{line: 'explain REQUEST', shows: 'bill: answered by slow@2'},
@@ -141,6 +142,9 @@
 	{line: 'session acme notes none', code: exitCode.notFound, says: 'none has no version'},
 	{line: 'explain entry-9.unknown', code: exitCode.notFound, says: 'no bill of entry-9.unknown'},
 	{line: 'lift notes short small@1', code: exitCode.notFound, says: 'no quarantine of small@1'},
+	{line: 'evacuate elsewhere', code: exitCode.notFound, says: 'in the zone elsewhere'},
+	{line: 'end-evacuation elsewhere --wait', code: exitCode.notFound, says: 'in the zone elsewhere'},
+	{line: 'evacuate', code: exitCode.usage, says: 'evacuate'},
 	{line: 'in-force 999999 --timeout 1', code: exitCode.notInForce, says: 'not in force after 1 s'},
 	{
 		line: 'status', code: exitCode.unreachable, says: 'no reply from', server: 'http://127.0.0.1:1',
@@ -213,6 +217,21 @@
 	});
 });
 
+// Guards against an evacuation that cannot be ordered, seen or withdrawn, and against one that is reported as in force before it is.
+it('evacuates a zone and ends the evacuation', async () => {
+	for (const [line, state] of [['evacuate zone-2 --wait', 'evacuated'], ['evacuate zone-2', 'evacuated'], ['end-evacuation zone-2 --wait', 'open']] as const) {
+		/* eslint-disable no-await-in-loop -- one command after another */
+		const {code, out, err} = await run(line);
+		expect([code, err]).toEqual([exitCode.ok, '']);
+		expect(out).toContain(line.includes('--wait') ? 'is in force at revision' : 'is accepted at revision');
+		await until(async () => {
+			const listed = await run('evacuations');
+			return new RegExp(`zone-2 +${state} +\\d+ +20\\d\\d-`, 'v').test(listed.out);
+		});
+		/* eslint-enable no-await-in-loop */
+	}
+});
+
 // Guards against an explanation that fails without the entry host that handled the request.
 it('shows only the bill when the entry host has left', async () => {
 	system.daemons[3]!.dispose();
--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -5,6 +5,9 @@
 import {reportBurn, type BurnOptions} from './burn-command.js';
 import {CliError} from './cli-error.js';
 import {type CommandContext} from './command-context.js';
+import {
+	endEvacuation, evacuate, listEvacuations, type EvacuationOptions,
+} from './evacuation-commands.js';
 import {explain} from './explain-command.js';
 import {exitCode, type ExitCode} from './exit-code.js';
 import {waitInForce} from './in-force-wait.js';
@@ -68,6 +71,9 @@
 		.option('--base <revision>', 'Revision that the change was made from')
 		.option('--wait', 'Wait until the change is in force everywhere')
 		.option('--timeout <seconds>', 'Longest wait (default 11)');
+	const withWaitOptions = (command: ReturnType<typeof cli.command>) => command
+		.option('--wait', 'Wait until the order is in force everywhere')
+		.option('--timeout <seconds>', 'Longest wait (default 11)');
 	const withListOptions = (command: ReturnType<typeof cli.command>) => command
 		.option('--customer <name>', 'Only this customer')
 		.option('--limit <rows>', 'Rows at most');
@@ -103,6 +109,9 @@
 	add(cli.command('rollouts', 'List the roll-outs'), async ctx => listRollouts(ctx));
 	add(cli.command('quarantines', 'List the quarantined versions'), async ctx => listQuarantines(ctx));
 	add(cli.command('lift <service> <class> <version>', 'Lift a quarantine'), async (ctx, service: string, requestClass: string, ref: string) => lift(ctx, service, requestClass, ref));
+	add(withWaitOptions(cli.command('evacuate <zone>', 'Send no more requests to the backend servers of a zone')), async (ctx, zone: string, options: EvacuationOptions) => evacuate(ctx, zone, options));
+	add(cli.command('evacuations', 'List the last order on each zone that was evacuated'), async ctx => listEvacuations(ctx));
+	add(withWaitOptions(cli.command('end-evacuation <zone>', 'Send requests to the backend servers of a zone again')), async (ctx, zone: string, options: EvacuationOptions) => endEvacuation(ctx, zone, options));
 	add(cli.command('explain <request>', 'Show the plan, the attempts and the bill of a request'), async (ctx, request: string) => explain(ctx, request));
 	add(cli.command('report <what>', 'Show how fast error budgets are used ("report burn")').option('--html <file>', 'Write a page with plots'), async (ctx, what: string, options: BurnOptions) => {
 		if (what !== 'burn') {
--- a/src/daemon/operator-api.ts
+++ b/src/daemon/operator-api.ts
@@ -55,6 +55,14 @@
 				return this._changes.lift(req);
 			}
 
+			case 'POST evacuations': {
+				return this._changes.evacuate(req);
+			}
+
+			case 'DELETE evacuations': {
+				return this._changes.endEvacuation(name);
+			}
+
 			case 'POST drain': {
 				this._options.drain();
 				return {status: 202, body: {status: 'draining'}};
@@ -102,6 +110,10 @@
 				return [...view.quarantines];
 			}
 
+			case 'evacuations': {
+				return [...view.evacuations.values()];
+			}
+
 			case 'explain': {
 				return this._options.explain.read(name);
 			}
--- a/src/daemon/operator-changes.ts
+++ b/src/daemon/operator-changes.ts
@@ -3,13 +3,14 @@
 import {type ControlFollower} from '../common/control/control-follower.js';
 import {parseDocument} from '../common/documents/parse-document.js';
 import {RefusalError} from '../common/entry/refusal-error.js';
-import {changeReply, type OperatorReply} from './operator-errors.js';
+import {changeReply, evacuationReply, type OperatorReply} from './operator-errors.js';
 import {readBody} from './read-body.js';
 
 /** Maximum size of a document in bytes. */
 const maxDocumentBytes = 1_048_576;
 const withdrawalSchema = z.strictObject({service: z.string(), ref: z.string()});
 const liftSchema = z.strictObject({service: z.string(), requestClass: z.string(), ref: z.string()});
+const evacuationSchema = z.strictObject({zone: z.string()});
 const querySchema = z.object({
 	changeId: z.string().min(1).max(200),
 	baseRevision: z.coerce.number().int().min(0).optional(),
@@ -44,6 +45,30 @@
 
 		return changeReply(await this._follower.propose({type: 'lift-quarantine', reason: 'lifted by an operator', ...fields}));
 	}
+
+	/** Orders that the backend servers of a zone get no requests. Needs no change id, because a repeated order changes nothing. */
+	async evacuate(req: IncomingMessage): Promise<OperatorReply> {
+		const {zone} = await readFields(req, evacuationSchema, 'An evacuation needs the field zone.');
+		return this._changeEvacuation('evacuate-zone', zone);
+	}
+
+	/** Withdraws the order to evacuate a zone. */
+	async endEvacuation(zone: string): Promise<OperatorReply> {
+		return this._changeEvacuation('end-evacuation', zone);
+	}
+
+	private async _changeEvacuation(type: 'evacuate-zone' | 'end-evacuation', zone: string): Promise<OperatorReply> {
+		const {entryHosts, backendServers, evacuations} = this._follower.view;
+		const last = evacuations.get(zone);
+		// An evacuation must be withdrawable when all hosts of its zone have left.
+		if (!last && ![...entryHosts.values(), ...backendServers.values()].some(host => host.zone === zone)) {
+			throw new RefusalError('zone-unknown', `No entry host or backend server is in the zone ${zone}.`, {status: 404});
+		}
+
+		return evacuationReply(await this._follower.propose({
+			type, zone, base: last?.revision ?? 0, at: 0,
+		}));
+	}
 }
 
 async function readFields<Fields>(req: IncomingMessage, schema: z.ZodType<Fields>, message: string): Promise<Fields> {
--- a/src/daemon/operator-errors.ts
+++ b/src/daemon/operator-errors.ts
@@ -36,6 +36,12 @@
 	}
 }
 
+/** Maps the result of an order on an evacuation to a reply. One that was overtaken is to be sent again if it is still wanted. */
+export function evacuationReply(result: ControlResult): OperatorReply {
+	const reply = changeReply(result);
+	return result.status === 'conflict' ? {...reply, status: 503} : reply;
+}
+
 /** Maps an error to a reply. A change that is answered with 503 may or may not have been made. */
 export function operatorErrorReply(error: unknown): OperatorReply {
 	if (error instanceof DocumentError) {
--- a/src/quickstart/embedded-system.ts
+++ b/src/quickstart/embedded-system.ts
@@ -32,6 +32,8 @@
 	readonly plainServices?: readonly string[];
 	/** Number of backend servers of each plain service; 1 by default. */
 	readonly plainServers?: number;
+	/** Zone of each backend server by its id; `zone-0` by default. */
+	readonly zones?: Readonly<Record<string, string>>;
 	/** Number of daemons, 1 by default. Of three or more the first three are voters, otherwise only the first one. */
 	readonly daemons?: number;
 	readonly flags?: Readonly<Record<string, string>>;
@@ -177,7 +179,7 @@
 		const incarnation = this._clock.wallTime();
 		const announcer = new BackendAnnouncer({
 			server: () => ({
-				...server, offers: offers(), incarnation, zone: 'zone-0', checksFencing: true, checksSender: false, capacity: 16,
+				...server, offers: offers(), incarnation, zone: this._options.zones?.[server.id] ?? 'zone-0', checksFencing: true, checksSender: false, capacity: 16,
 			}),
 			load: () => source.load,
 			controlAddresses: [...this._addresses.values()],
