--- a/src/daemon/evacuation.test.ts
+++ b/src/daemon/evacuation.test.ts
@@ -1,3 +1,6 @@
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import {
 	afterAll, beforeAll, expect, it,
 } from 'vitest';
@@ -118,6 +121,17 @@
 	await until(() => system.daemons[1]!.status.revision >= revision);
 });
 
+// Guards against an order whose sender has given up, which a daemon that was stopped for a while finds among its input.
+it('does not carry out an order after the caller has left', async () => {
+	const {hostname, port} = new URL(system.controlUrl());
+	const before = system.daemons[0]!.status.revision;
+	const socket = connect(Number(port), hostname);
+	await once(socket, 'connect');
+	socket.end('DELETE /operator/v1/evacuations/n HTTP/1.1\r\nhost: x\r\n\r\n');
+	await delay(500);
+	expect(system.daemons[0]!.status.revision).toBe(before);
+});
+
 // Guards against an order that undoes one which its host has not heard of.
 it('answers an order that was overtaken with 503', async () => {
 	const {follower} = system.daemons[0]!.host.control;
--- a/src/daemon/operator-api.ts
+++ b/src/daemon/operator-api.ts
@@ -60,7 +60,7 @@
 			}
 
 			case 'DELETE evacuations': {
-				return this._changes.endEvacuation(name);
+				return this._changes.endEvacuation(req, name);
 			}
 
 			case 'POST drain': {
--- a/src/daemon/operator-changes.ts
+++ b/src/daemon/operator-changes.ts
@@ -3,6 +3,7 @@
 import {type ControlFollower} from '../common/control/control-follower.js';
 import {parseDocument} from '../common/documents/parse-document.js';
 import {RefusalError} from '../common/entry/refusal-error.js';
+import {hasLeft} from '../node/has-left.js';
 import {changeReply, evacuationReply, type OperatorReply} from './operator-errors.js';
 import {readBody} from './read-body.js';
 
@@ -49,15 +50,15 @@
 	/** Orders that the backend servers of a zone get no requests. Needs no change id, because a repeated order changes nothing. */
 	async evacuate(req: IncomingMessage): Promise<OperatorReply> {
 		const {zone} = await readFields(req, evacuationSchema, 'An evacuation needs the field zone.');
-		return this._changeEvacuation('evacuate-zone', zone);
+		return this._changeEvacuation(req, 'evacuate-zone', zone);
 	}
 
 	/** Withdraws the order to evacuate a zone. */
-	async endEvacuation(zone: string): Promise<OperatorReply> {
-		return this._changeEvacuation('end-evacuation', zone);
+	async endEvacuation(req: IncomingMessage, zone: string): Promise<OperatorReply> {
+		return this._changeEvacuation(req, 'end-evacuation', zone);
 	}
 
-	private async _changeEvacuation(type: 'evacuate-zone' | 'end-evacuation', zone: string): Promise<OperatorReply> {
+	private async _changeEvacuation({socket}: IncomingMessage, type: 'evacuate-zone' | 'end-evacuation', zone: string): Promise<OperatorReply> {
 		const {entryHosts, backendServers, evacuations} = this._follower.view;
 		const last = evacuations.get(zone);
 		// An evacuation must be withdrawable when all hosts of its zone have left.
@@ -65,6 +66,11 @@
 			throw new RefusalError('zone-unknown', `No entry host or backend server is in the zone ${zone}.`, {status: 404});
 		}
 
+		if (await hasLeft(socket)) {
+			// A daemon that was stopped for a while finds orders among its input whose senders have given up and ordered otherwise elsewhere.
+			throw new RefusalError('cancelled', 'The caller went away.', {status: 503});
+		}
+
 		return evacuationReply(await this._follower.propose({
 			type, zone, base: last?.revision ?? 0, at: 0,
 		}));
