Keep the limit of cold servers while entry hosts come and go

Causes, found by a property test with 3 to 370 hosts that have own clocks and late views of the directory: a host that expired and joined again between two of its views used its share at once, while its successor still sent; a host that took over the share of another one sent in the same second (limit 2: 3 requests, limit 5: 6); a request sent just before a server turned cold did not count; a request written later than it was chosen let the next choice be refused at its write.

A host now uses shares after it has been listed under one incarnation for a lease and a second (5.09 s), keeps to the smallest share of the last second (ColdShareHistory), and waits a second after a time without a lease.

--- a/src/common/forwarding/choose-server.ts
+++ b/src/common/forwarding/choose-server.ts
@@ -68,8 +68,8 @@
 	const ofRelease = (servers: readonly ServerRecord[]) => preferred(serversForRelease(state().rollouts.get(service), session, servers, now), now);
 	// The release is chosen whatever servers are cold, so that all hosts choose the same one and the same servers of a trial.
 	const sound = ofRelease(untried);
-	const warm = sound.filter(record => cold.allows(record, service));
-	const candidates = warm.length > 0 || sound.length === 0 ? warm : ofRelease(untried.filter(record => cold.allows(record, service)));
+	const warm = sound.filter(record => cold.waitMs(record, service) === 0);
+	const candidates = warm.length > 0 || sound.length === 0 ? warm : ofRelease(untried.filter(record => cold.waitMs(record, service) === 0));
 	const maxConnections = maxConnectionsOf(services, service);
 	return {candidates, free: candidates.filter(({inFlight}) => inFlight < maxConnections)};
 }
--- a/src/common/host/forward-host.ts
+++ b/src/common/host/forward-host.ts
@@ -124,6 +124,7 @@
 		}));
 		this._store.add(this.follower.onLeaseGained(() => {
 			logger.info({revision: this.follower.applied}, 'lease gained');
+			this._cold.recordLeaseGained();
 			this.forwarder.forwardWaiting();
 		}));
 		this._store.add(this.follower.onConfirmed(() => {
@@ -243,7 +244,8 @@
 		this._trialSessions.update(view);
 		this._applyEvacuations();
 		this._pool.update(view.backendServers.values(), this._options.clock.now(), this._evacuatedZones);
-		this._cold.update(view.entryHosts.values(), view.entryHosts.get(this._options.entry.host)?.incarnation === this.follower.incarnation);
+		const listedIncarnation = view.entryHosts.get(this._options.entry.host)?.incarnation;
+		this._cold.update(view.entryHosts.values(), listedIncarnation === this.follower.incarnation ? listedIncarnation : undefined);
 		this._hostIndex = Math.max(0, [...view.entryHosts.keys()].sort().indexOf(this._options.entry.host));
 		this._onServers.fire(new Set([...view.backendServers.values()].map(({address}) => address)));
 		this._peers.update(view.entryHosts.values());
