Forward requests past cold servers without room

The fallback for a trial whose server is cold without room chose other servers of the new release, which exposed more of them (test: new-0 and new-4 in place of new-0). It now uses the previous release. A request whose write was refused because another one was written just before could not try that server again and was refused as no-server.

Counters forward.cold-requests, forward.cold-skipped and forward.waited-for-cold-server; one log line for each change of the cold servers.

--- a/src/common/forwarding/choose-server.ts
+++ b/src/common/forwarding/choose-server.ts
@@ -5,7 +5,7 @@
 import {preferred} from './placement.js';
 import {sessionOf} from './request-session.js';
 import {type LimitShare} from './request-limit.js';
-import {serversForRelease} from './servers-for-release.js';
+import {serversForRelease, serversInstead} from './servers-for-release.js';
 import {type ServerRecord} from './server-pool.js';
 
 /** Number of prompt tokens that take as much time of an engine as one token of an answer. */
@@ -23,6 +23,8 @@
 	readonly record: ServerRecord | undefined;
 	/** Whether the only reason is that all connections of this host to the servers that may take it are in use. */
 	readonly isFull: boolean;
+	/** Time in milliseconds after which a cold server may take the request, when the only reason is that cold servers have no room; Infinity when that is not foreseeable. */
+	readonly roomInMs?: number | undefined;
 }
 
 /** Whether a server may take an attempt at once: one that `chooseServer` would choose. */
@@ -35,11 +37,16 @@
 a roll-out assigns to the session, and with a free connection.
 */
 export function chooseServer(services: ForwardServices, admitted: AdmittedRequest, tried: ReadonlySet<string>): ServerChoice {
-	const {placement, state, sessions, clock, zone} = services;
+	const {placement, state, sessions, clock, zone, counters} = services;
 	const {req, service} = admitted;
-	const {candidates, free} = freeServers(services, admitted, tried);
+	const {candidates, free, coldWaits} = freeServers(services, admitted, tried);
+	if (coldWaits.length > 0) {
+		counters.increment('forward.cold-skipped', 1, {service});
+	}
+
 	if (free.length === 0) {
-		return {record: undefined, isFull: candidates.length > 0};
+		const isFull = candidates.length > 0;
+		return {record: undefined, isFull, roomInMs: isFull || coldWaits.length === 0 ? undefined : Math.min(...coldWaits)};
 	}
 
 	const parts = req.generation?.parts ?? [];
@@ -56,22 +63,34 @@
 	return {record, isFull: false};
 }
 
-/** Returns the servers that may take an attempt, and those of them with a free connection. */
-function freeServers(services: ForwardServices, {req, service}: AdmittedRequest, tried: ReadonlySet<string>): {readonly candidates: readonly ServerRecord[]; readonly free: readonly ServerRecord[]} {
+/** The servers that may take an attempt. */
+interface FreeServers {
+	readonly candidates: readonly ServerRecord[];
+	/** Those of them with a free connection. */
+	readonly free: readonly ServerRecord[];
+	/** Times in milliseconds after which the cold servers have room that would be candidates if they had it now. */
+	readonly coldWaits: readonly number[];
+}
+
+function freeServers(services: ForwardServices, {req, service}: AdmittedRequest, tried: ReadonlySet<string>): FreeServers {
 	const {
 		pool, state, sessions, clock, cold,
 	} = services;
-	const session = sessionOf({sessions}, {req});
+	const rollout = state().rollouts.get(service);
 	const share = limitShare({clock, state});
 	const now = clock.now();
 	const untried = pool.openServers(service).filter(record => !tried.has(record.key) && record.accepts(now) && record.allows(share, now));
-	const ofRelease = (servers: readonly ServerRecord[]) => preferred(serversForRelease(state().rollouts.get(service), session, servers, now), now);
 	// The release is chosen whatever servers are cold, so that all hosts choose the same one and the same servers of a trial.
-	const sound = ofRelease(untried);
-	const warm = sound.filter(record => cold.waitMs(record, service) === 0);
-	const candidates = warm.length > 0 || sound.length === 0 ? warm : ofRelease(untried.filter(record => cold.waitMs(record, service) === 0));
+	const sound = preferred(serversForRelease(rollout, sessionOf({sessions}, {req}), untried, now), now);
+	const hasRoom = (record: ServerRecord) => cold.waitMs(record, service) === 0;
+	const ready = sound.filter(record => hasRoom(record));
+	const candidates = ready.length > 0 || sound.length === 0 ? ready : preferred(serversInstead(rollout, untried.filter(record => hasRoom(record))), now);
 	const maxConnections = maxConnectionsOf(services, service);
-	return {candidates, free: candidates.filter(({inFlight}) => inFlight < maxConnections)};
+	return {
+		candidates,
+		free: candidates.filter(({inFlight}) => inFlight < maxConnections),
+		coldWaits: ready.length === sound.length ? [] : sound.map(record => cold.waitMs(record, service)).filter(waitMs => waitMs > 0),
+	};
 }
 
 /** Expected work of a request, in the unit of a prompt token. */
--- a/src/common/forwarding/cold-servers.ts
+++ b/src/common/forwarding/cold-servers.ts
@@ -69,6 +69,10 @@
 	}
 
 	waitMs(record: ServerRecord, service: string): number {
+		if (record.server.coldSince === undefined) {
+			return 0;
+		}
+
 		const {sentAt, writtenAt} = this._timesOf(record);
 		return this._waitMs(record, service, Math.max(sentAt, writtenAt));
 	}
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -11,12 +11,13 @@
 import {
 	chooseServer, hasFreeServer, limitShare, pauseOfAllMs,
 } from './choose-server.js';
+import {ColdWait} from './cold-wait.js';
 import {type EscalatingRequest, Escalation} from './escalation.js';
 import {type AnswerHead} from './forward-request.js';
 import {type ForwardServices} from './forward-services.js';
 import {type AdmittedRequest} from './forwarder.js';
 import {
-	evacuatedReason, evacuatedRefusal, mayHaveRunRefusal, notRunRefusal, pausedRefusal, quarantinedPartReason, quarantinedRefusal, quarantinedRequestReason, serversUnreachableReason, stoppingReason, timeoutReason, tooMuchHeldReason,
+	coldReason, evacuatedReason, evacuatedRefusal, mayHaveRunRefusal, notRunRefusal, pausedRefusal, quarantinedPartReason, quarantinedRefusal, quarantinedRequestReason, serversUnreachableReason, stoppingReason, timeoutReason, tooMuchHeldReason,
 } from './router-refusals.js';
 import {HandOver} from './hand-over.js';
 import {guardedEvents} from './guarded-events.js';
@@ -58,6 +59,7 @@
 	private _timer: Disposable | undefined;
 	/** Place of the request in the queue for a connection. */
 	private _wait: Disposable | undefined;
+	private readonly _coldWait: ColdWait;
 	private _isFinished = false;
 
 	constructor(
@@ -72,6 +74,7 @@
 		this._attempts = new RequestAttempts(_services, _admitted, this.deadlineAt);
 		this._crashes = new CrashGuard(_services, _admitted);
 		this._handOver = new HandOver(_services, _admitted);
+		this._coldWait = new ColdWait(_services.clock, _admitted);
 		this._answer = new CallerAnswer(_sink);
 		this._delivery = new AnswerDelivery(_services.clock, this._answer, _admitted, this._attempts.isRepeatable
 			? () => this._onStall()
@@ -126,6 +129,7 @@
 	/** Delivers the answer of an earlier attempt, as far as it has arrived, in place of the attempt in flight. */
 	deliver(earlier: Attempt): void {
 		this._wait?.dispose();
+		this._coldWait.dispose();
 		if (this._current && this._current !== earlier && !this._current.isFinished) {
 			this.model.recordFirstEvent(this._current);
 			this._current.evidence.recordSilence(this._services.clock.now());
@@ -172,8 +176,9 @@
 		}
 	}
 
-	/** Sends the request like `_sendToBest`, or ends it. @returns false when all connections to the servers that may take it are in use. */
+	/** Sends the request like `_sendToBest`, or ends it. @returns false when it waits: all connections to the servers that may take it are in use, or a cold one has room soon. */
 	private _trySend(excluded: ReadonlySet<string>): boolean {
+		this._coldWait.dispose();
 		const refusal = this._crashes.refuse();
 		if (refusal !== undefined) {
 			this._endWithoutAnswer(refusal);
@@ -191,7 +196,7 @@
 			return true;
 		}
 
-		const {record, isFull} = chooseServer(this._services, this._admitted, excluded);
+		const {record, isFull, roomInMs} = chooseServer(this._services, this._admitted, excluded);
 		const host = this._escalation.isHolding ? undefined : this._handOver.next(record !== undefined || isFull);
 		if (host) {
 			this._send(host, true);
@@ -199,22 +204,34 @@
 			this._endWithoutAnswer(serversUnreachableReason);
 		} else if (record) {
 			this._send(record, false);
-		} else if (isFull) {
+		} else if (isFull || this._waitForRoom(roomInMs)) {
 			return false;
-		} else {
+		} else if (roomInMs === undefined) {
 			this._endWithoutAnswer(this._services.pool.isEvacuated(this._admitted.service) ? evacuatedReason : 'no-server');
+		} else {
+			this._endWithoutAnswer(coldReason);
 		}
 
 		return true;
 	}
 
-	/** Waits until a server that may take the request has a free connection. */
+	/** Waits until a cold server has room. @returns false when it does not have it soon enough. */
+	private _waitForRoom(roomInMs = Infinity): boolean {
+		return this._coldWait.start(roomInMs, () => {
+			this._services.places.release(this._admitted.service, Infinity);
+		});
+	}
+
+	/** Waits until a server that may take the request has a free connection, or a cold one has room. */
 	private _waitForPlace(excluded: ReadonlySet<string>): void {
 		const {places, counters, logger} = this._services;
 		const {service, req} = this._admitted;
 		this._current = undefined;
 		this._wait = places.add(service, () => this._trySend(excluded));
-		if (this._wait) {
+		if (this._wait && this._coldWait.isWaiting) {
+			counters.increment('forward.waited-for-cold-server', 1, {service});
+			logger.info({req: req.id, service, waiting: places.size}, 'request waits for a cold server');
+		} else if (this._wait) {
 			counters.increment('forward.waited-for-connection', 1, {service});
 			logger.info({req: req.id, service, waiting: places.size}, 'request waits for a connection to a server');
 		} else {
@@ -400,7 +417,8 @@
 		}
 
 		this.abandon(attempt, reason);
-		this._attempts.withdraw();
+		const isCold = this._services.cold.waitMs(attempt.record, this._admitted.service) > 0;
+		this._attempts.withdraw(reason === withdrawnReason && isCold ? attempt.record.key : undefined);
 		if (this._attempts.hasTime && (reason === withdrawnReason || !this._escalation.isHolding)) {
 			this._attempt();
 		} else {
@@ -541,6 +559,7 @@
 		}
 
 		this._wait?.dispose();
+		this._coldWait.dispose();
 		this._escalation.drop(outcome);
 		if (this._current && !this._current.isFinished) {
 			this.abandon(this._current, outcome);
--- a/src/common/forwarding/request-attempts.ts
+++ b/src/common/forwarding/request-attempts.ts
@@ -46,9 +46,12 @@
 		this.tried.add(server);
 	}
 
-	/** Takes back the last attempt, of which no byte was sent. */
-	withdraw(): void {
+	/** Takes back the last attempt, of which no byte was sent. A server that is named may be tried again later. */
+	withdraw(server?: string): void {
 		this._count--;
+		if (server !== undefined) {
+			this.tried.delete(server);
+		}
 	}
 
 	/** Takes a repeat from the budget, if attempts and time are left. @returns whether the request may be sent again. */
--- a/src/common/forwarding/router-refusals.ts
+++ b/src/common/forwarding/router-refusals.ts
@@ -30,6 +30,9 @@
 /** Code of a request whose service has servers in evacuated zones only. */
 export const evacuatedReason = 'zone-evacuated';
 
+/** Code of a request for which all servers are cold and get no more requests for the moment. */
+export const coldReason = 'servers-cold';
+
 /** Code of a request whose answer was given up because the host holds too many bytes. */
 export const tooMuchHeldReason = 'too-much-held';
 
--- a/src/common/forwarding/servers-for-release.ts
+++ b/src/common/forwarding/servers-for-release.ts
@@ -39,6 +39,21 @@
 	return rollout.share < 1 ? trialServers(rollout, target, others.length, now) : target;
 }
 
+/**
+Returns the servers that may take a request while none of those to which a roll-out assigns it can, because all of them are cold.
+While it is in progress, these are servers of the previous release: others of the new one are not part of its trial.
+*/
+export function serversInstead(rollout: ServiceRollout | undefined, candidates: readonly ServerRecord[]): readonly ServerRecord[] {
+	if (!rollout) {
+		return candidates;
+	}
+
+	const target = candidates.filter(({server}) => server.release === rollout.target);
+	return rollout.state === serviceRolloutState.completed && target.length > 0
+		? target
+		: candidates.filter(({server: {release}}) => release !== rollout.target && !isRejected(rollout, release));
+}
+
 /** Whether a request of the session may still run on the release of a server that was chosen for it. */
 export function mayRunRelease(rollout: ServiceRollout, session: RequestSession, release: string | undefined): boolean {
 	if (release !== rollout.target) {
--- a/src/common/forwarding/write-check.ts
+++ b/src/common/forwarding/write-check.ts
@@ -42,9 +42,14 @@
 
 	/** Whether the request may be written to a backend server now; called immediately before it is. */
 	allowsServer(record: ServerRecord): boolean {
-		const {pool, cold} = this._services;
+		const {pool, cold, counters} = this._services;
 		const {service} = this._admitted;
-		return this._allowsWrite(record) && pool.isOpen(service, record) && this._allowsRelease(record) && cold.startWrite(record, service);
+		const isAllowed = this._allowsWrite(record) && pool.isOpen(service, record) && this._allowsRelease(record) && cold.startWrite(record, service);
+		if (isAllowed && record.server.coldSince !== undefined) {
+			counters.increment('forward.cold-requests', 1, {service});
+		}
+
+		return isAllowed;
 	}
 
 	/** Whether the request may be handed over to another entry host now. */
--- a/src/common/host/forward-host.ts
+++ b/src/common/host/forward-host.ts
@@ -35,6 +35,7 @@
 import {ReleaseRecorder} from '../release/release-recorder.js';
 import {StickySessions} from '../release/sticky-sessions.js';
 import {TrialSessions} from '../release/trial-sessions.js';
+import {ColdServerLog} from './cold-server-log.js';
 
 /** Minimum confidence of an accepted answer of a small model; docs/platform-measurements.md has the side-by-side measurement. */
 const acceptedConfidence = 55;
@@ -86,6 +87,7 @@
 	private readonly _budgets = new Map<string, FleetRepeatBudget>();
 	private readonly _slackShare: SlackShare;
 	private readonly _cold: SharedColdServers;
+	private readonly _coldLog: ColdServerLog;
 	private _evacuatedZones: ReadonlySet<string> = new Set();
 	private readonly _onRouting = this._store.add(new Emitter<RoutingConfig>());
 	private readonly _onServers = this._store.add(new Emitter<ReadonlySet<string>>());
@@ -103,6 +105,7 @@
 		this._peers = new PeerHosts(entry.host);
 		this._places = this._store.add(new PlaceQueue(clock));
 		this._slackShare = new SlackShare(clock, leaseMs, leaseMs + _options.repeatLimit.windowMs);
+		this._coldLog = new ColdServerLog(logger);
 		this._cold = new SharedColdServers(entry.host, clock, service => this._coldLimit(service));
 		this.follower = this._store.add(new ControlFollower({..._options, voters: () => this._voters.hosts, sections: []}));
 		this._recorder = this._store.add(new ReleaseRecorder(service => {
@@ -244,6 +247,7 @@
 		this._trialSessions.update(view);
 		this._applyEvacuations();
 		this._pool.update(view.backendServers.values(), this._options.clock.now(), this._evacuatedZones);
+		this._coldLog.update(view.backendServers.values(), view.revision);
 		const listedIncarnation = view.entryHosts.get(this._options.entry.host)?.incarnation;
 		this._cold.update(view.entryHosts.values(), listedIncarnation === this.follower.incarnation ? listedIncarnation : undefined);
 		this._hostIndex = Math.max(0, [...view.entryHosts.keys()].sort().indexOf(this._options.entry.host));
--- a/src/testing/forwarder-fixture.ts
+++ b/src/testing/forwarder-fixture.ts
@@ -1,3 +1,4 @@
+import {type Clock} from '../common/base/clock.js';
 import {HeldBytes} from '../common/base/held-bytes.js';
 import {nullCounters} from '../common/base/null-counters.js';
 import {nullLogger} from '../common/base/null-logger.js';
@@ -7,7 +8,7 @@
 import {type ConfigLease} from '../common/control/config-lease.js';
 import {type ServiceRollout} from '../common/control/service-rollout.js';
 import {RetryBudget} from '../common/entry/retry-budget.js';
-import {unlimitedColdServers} from '../common/forwarding/cold-servers.js';
+import {type ColdServers, unlimitedColdServers} from '../common/forwarding/cold-servers.js';
 import {type CrashObserver} from '../common/forwarding/crash-observer.js';
 import {type ForwardServices, type Reach} from '../common/forwarding/forward-services.js';
 import {type ForwardRequest} from '../common/forwarding/forward-request.js';
@@ -73,19 +74,19 @@
 }
 
 /** Parts of a forwarder that a test sets; the others do nothing. */
-export type TestForwarderOptions = Pick<ForwardServices, 'clock' | 'lease' | 'pool' | 'port' | 'budget' | 'state'> & Partial<Pick<ForwardServices, 'held' | 'observer' | 'crashes' | 'reach' | 'peers' | 'peerPort' | 'counters' | 'confirmConfiguration' | 'configurationBoundMs' | 'logger'>> & {readonly random: RandomSource};
+export type TestForwarderOptions = Pick<ForwardServices, 'clock' | 'lease' | 'pool' | 'port' | 'budget' | 'state'> & Partial<Pick<ForwardServices, 'cold' | 'held' | 'observer' | 'crashes' | 'reach' | 'peers' | 'peerPort' | 'counters' | 'confirmConfiguration' | 'configurationBoundMs' | 'logger'>> & {readonly random: RandomSource};
 
 /** Creates a forwarder without sticky sessions. */
 export function createTestForwarder({
-	random, held = new HeldBytes(), observer = nullReleaseObserver, crashes = nullCrashes, reach = nullReach, peers = new PeerHosts('self'), peerPort = new ScriptedPort(), counters = nullCounters, confirmConfiguration = () => undefined, configurationBoundMs = 2000, logger = nullLogger, ...options
+	random, cold = unlimitedColdServers, held = new HeldBytes(), observer = nullReleaseObserver, crashes = nullCrashes, reach = nullReach, peers = new PeerHosts('self'), peerPort = new ScriptedPort(), counters = nullCounters, confirmConfiguration = () => undefined, configurationBoundMs = 2000, logger = nullLogger, ...options
 }: TestForwarderOptions): Forwarder {
 	return new Forwarder({
-		...options, held, observer, crashes, reach, peers, peerPort, counters, confirmConfiguration, configurationBoundMs, digests: testDigests, zone: 'z', logger, placement: new AffinityPlacement(random), cold: unlimitedColdServers, places: new PlaceQueue(options.clock), speeds: new ModelSpeeds(), models: new LoadAwareCascade(60, 1), sessions: {recordRequest: () => undefined, isSticky: () => false}, random: () => random.next(),
+		...options, held, observer, crashes, reach, peers, peerPort, counters, confirmConfiguration, configurationBoundMs, digests: testDigests, zone: 'z', logger, placement: new AffinityPlacement(random), cold, places: new PlaceQueue(options.clock), speeds: new ModelSpeeds(), models: new LoadAwareCascade(60, 1), sessions: {recordRequest: () => undefined, isSticky: () => false}, random: () => random.next(),
 	});
 }
 
 /** Creates a forwarder with one route, a manual clock and scripted backend servers. */
-export function createForwarderFixture(kind: Repetition, changes: Partial<Route> = {}, servers: readonly BackendServer[] = [testBackend('a'), testBackend('bb'), testBackend('ccc')]) {
+export function createForwarderFixture(kind: Repetition, changes: Partial<Route> = {}, servers: readonly BackendServer[] = [testBackend('a'), testBackend('bb'), testBackend('ccc')], createCold: (clock: Clock) => ColdServers = () => unlimitedColdServers) {
 	const route = testRoute({
 		hostname: 'h.example', pathPrefix: '/a/', repetition: kind, targetLatencyMs: 500, priority: 2, isAnonymous: false, isResumable: kind === repetition.stream, ...changes,
 	});
@@ -121,7 +122,7 @@
 	const peerPort = new ScriptedPort();
 	const reach = {...nullReach};
 	const forwarder = createTestForwarder({
-		clock, lease, random, pool, port, crashes, counters, logger, peers, peerPort, reach, confirmConfiguration: () => confirmationsAsked.push(clock.now()), budget: () => budget, state: () => ({
+		clock, cold: createCold(clock), lease, random, pool, port, crashes, counters, logger, peers, peerPort, reach, confirmConfiguration: () => confirmationsAsked.push(clock.now()), budget: () => budget, state: () => ({
 			table, rollouts, quarantinedParts, quarantinedRequests, hostCount: 1, hostIndex: 0,
 		}),
 	});
