Mark cold servers only where all control hosts apply it

The leader takes coldMs out of an announcement while a member that has replied runs an earlier release, and takes no marks back then: such a member keeps no mark and ignores servers-warm, so its state and the entry hosts would differ (test: 40 of 40 requests in a second with version 2, 6 to 7 with version 3). A cold announcement no longer shares the pending proposal of a warm one. A server in an evacuated zone that says in each heartbeat that it is cold is not marked each time; it is marked when the evacuation ends.

--- a/src/common/control/cold-server-watch.ts
+++ b/src/common/control/cold-server-watch.ts
@@ -3,6 +3,7 @@
 import {type Logger} from '../base/logger.js';
 import {type ReplicatedLog} from '../consensus/replicated-log.js';
 import {type BackendServer} from './backend-server.js';
+import {evacuationVersion} from './command-versions.js';
 import {type ColdServer, type ControlCommand} from './control-command.js';
 import {type ControlLeadership} from './control-leadership.js';
 import {type ControlResult} from './control-result.js';
@@ -39,8 +40,15 @@
 		});
 	}
 
-	/** Whether a process that now says that it is cold for `coldMs` is cold for longer than its mark says. */
+	/**
+	Whether a process that now says that it is cold for `coldMs` must be marked for longer than it is. One in an evacuated zone
+	need not be: it gets no requests, may say so in each heartbeat, and is marked when the evacuation ends.
+	*/
 	isColdForLonger(known: BackendServer, coldMs: number): boolean {
+		if (this._options.state.evacuatedZones.has(known.zone)) {
+			return false;
+		}
+
 		return known.coldSince === undefined || this._options.clock.now() + coldMs > this._endOf(known) + newTimeMs;
 	}
 
@@ -49,7 +57,7 @@
 	}
 
 	private _update(): void {
-		const {state, leadership, clock} = this._options;
+		const {state, leadership, clock, log} = this._options;
 		const cold = [...state.backendServers.values()].filter(({coldSince}) => coldSince !== undefined);
 		if (cold.length === 0) {
 			this._markedAt.clear();
@@ -59,7 +67,8 @@
 		const now = clock.now();
 		this._markedAt = new Map(cold.map(server => [markKey(server), this._markedAt.get(markKey(server)) ?? now]));
 		const warm = cold.filter(server => this._endOf(server) + marginMs <= now && !this._proposed.has(markKey(server)));
-		if (leadership.period && warm.length > 0) {
+		// Members of an earlier release ignore the command; those marks stay until the last one is replaced.
+		if (leadership.period && warm.length > 0 && log.repliedCommandVersion >= evacuationVersion) {
 			void this._propose(warm.map(({id, incarnation, coldSince}) => ({id, incarnation, coldSince: coldSince!})));
 		}
 	}
--- a/src/common/control/control-service.ts
+++ b/src/common/control/control-service.ts
@@ -287,6 +287,12 @@
 			throw new CommandNotAllowedError('a member of the control group runs a release that does not know evacuations');
 		}
 
+		if (command.type === 'backend-joined' && command.server.coldMs !== undefined && log.repliedCommandVersion < evacuationVersion) {
+			// Members of an earlier release would not mark the server, nor take the mark back.
+			const {coldMs: _, ...server} = command.server;
+			return log.propose({...command, server, at: clock.wallTime()});
+		}
+
 		// The age of tombstones is measured by a single clock, that of the leader.
 		return log.propose('at' in command ? {...command, at: clock.wallTime()} : command);
 	}
--- a/src/common/host/control-host.test.ts
+++ b/src/common/host/control-host.test.ts
@@ -8,11 +8,11 @@
 import {SeededRandom} from '../base/seeded-random.js';
 import {plainTextCodec} from '../base/text-codec.js';
 import {DiskLogStorage} from '../consensus/disk-log-storage.js';
-import {ControlHost} from './control-host.js';
+import {ControlHost, type ControlHostOptions} from './control-host.js';
 
 const names = ['a', 'b', 'c'];
 
-async function startGroup(seed: number) {
+async function startGroup(seed: number, changes: Pick<ControlHostOptions, 'parseColdStarts'> = {}) {
 	const clock = new ManualClock();
 	const logger = new RecordingLogger();
 	const random = new SeededRandom(seed);
@@ -33,6 +33,7 @@
 		exposureLimit: {share: 0.15, slack: 30},
 		keepSeconds: 1,
 		codec: plainTextCodec,
+		...changes,
 	})));
 	await clock.advanceUntil(() => hosts[0]!.leader !== undefined, 10_000);
 	const settle = async <T>(promise: Promise<T>): Promise<T> => {
@@ -47,7 +48,7 @@
 	};
 
 	return {
-		clock, network, hosts, settle, removals: () => logger.of('backend server removed, no heartbeat').length,
+		clock, network, hosts, settle, logger, removals: () => logger.of('backend server removed, no heartbeat').length,
 	};
 }
 
@@ -148,3 +149,48 @@
 		host.dispose();
 	}
 });
+
+// Guards against a process that turns cold again and is not marked, a command in the log for each heartbeat, marks that stay, and
+// marks in a deployment without limits for cold servers. Each heartbeat follows the one before after a second.
+it.each([
+	{
+		name: 'cold after its start', heartbeats: [2500, 1500, 500, undefined, undefined, undefined], announced: [2500], warm: 1,
+	},
+	{
+		name: 'cold again while it is cold', heartbeats: [2500, 1500, 2500, 1500, 500, undefined, undefined, undefined], announced: [2500, 2500], warm: 1,
+	},
+	{
+		name: 'cold again after it was warm', heartbeats: [1500, undefined, undefined, undefined, 2500, 1500, 500, undefined, undefined], announced: [1500, 2500], warm: 2,
+	},
+	{
+		name: 'cold after a warm start', heartbeats: [undefined, 2500, 1500, 500, undefined, undefined], announced: [undefined, 2500], warm: 1,
+	},
+	{
+		name: 'cold without limits', heartbeats: [2500, 1500, 500, undefined, undefined], announced: [undefined], warm: 0, hasLimits: false,
+	},
+])('commits the times of a process that is $name', async ({heartbeats, announced, warm, hasLimits = true}) => {
+	const {clock, hosts, settle, logger} = await startGroup(7, hasLimits ? {parseColdStarts: () => new Map()} : {});
+	const leader = names.indexOf(hosts[0]!.leader!);
+	for (const [index, coldMs] of heartbeats.entries()) {
+		const host = hosts[(leader + index) % names.length]!;
+		expect(await settle(host.announce(testBackend('s-1', coldMs === undefined ? {} : {coldMs})))).toBe(true); // eslint-disable-line no-await-in-loop -- one after another
+		await clock.advance(1000); // eslint-disable-line no-await-in-loop -- one after another
+	}
+
+	expect(logger.of('backend server announced').map(({coldMs}) => coldMs)).toEqual(announced);
+	expect(logger.of('backend servers are warm')).toHaveLength(warm);
+	for (const host of hosts) {
+		host.dispose();
+	}
+});
+
+// Guards against a server that turns cold while its warm announcement is under way, and counts as warm because both share a proposal.
+it('commits that a process is cold while another announcement of it is pending', async () => {
+	const {hosts, settle, logger} = await startGroup(8, {parseColdStarts: () => new Map()});
+	const server = testBackend('s-1');
+	await settle(Promise.all([hosts[0]!.announce(server), hosts[0]!.announce({...server, coldMs: 2000}), hosts[0]!.announce({...server, coldMs: 1990})]));
+	expect(new Set(logger.of('backend server announced').map(({coldMs}) => coldMs))).toEqual(new Set([2000, undefined]));
+	for (const host of hosts) {
+		host.dispose();
+	}
+});
--- a/src/common/host/control-host.ts
+++ b/src/common/host/control-host.ts
@@ -192,7 +192,7 @@
 			return true;
 		}
 
-		const key = JSON.stringify({...server, coldMs: undefined});
+		const key = JSON.stringify({...server, coldMs: server.coldMs !== undefined});
 		let pendingJoin = this._pendingJoins.get(key);
 		if (!pendingJoin) {
 			pendingJoin = this._join(key, server);
--- a/src/common/host/forward-host.test.ts
+++ b/src/common/host/forward-host.test.ts
@@ -11,7 +11,7 @@
 import {plainTextCodec} from '../base/text-codec.js';
 import {maxRenewHoldMs, renewIntervalMs} from '../control/control-times.js';
 import {type RoutingConfig} from '../forwarding/routing-config.js';
-import {ForwardHost} from './forward-host.js';
+import {ForwardHost, type ForwardHostOptions} from './forward-host.js';
 
 const configurationBoundMs = 2000;
 const host = 'edge';
@@ -23,7 +23,7 @@
 	return JSON.stringify({...cfg, version});
 }
 
-async function start(seed: number, {startupMs = 3000, boundMs = configurationBoundMs} = {}) {
+async function start(seed: number, {startupMs = 3000, boundMs = configurationBoundMs, coldBounds}: {startupMs?: number; boundMs?: number; coldBounds?: ForwardHostOptions['coldBounds']} = {}) {
 	const counters = new RecordingCounters();
 	const cluster = await ControlCluster.start([], seed);
 	const {clock} = cluster;
@@ -47,6 +47,7 @@
 		repeatLimit: {share: 0.1, slack: 10, windowMs: 10_000},
 		configurationBoundMs: boundMs,
 		sessionMs: 5000,
+		coldBounds,
 	});
 	const leader = cluster.daemon('v1').follower;
 	await cluster.settle(leader.propose({type: 'backend-joined', server: testBackend('a'), at: clock.wallTime()}));
@@ -139,3 +140,43 @@
 	edge.dispose();
 	cluster.dispose();
 });
+
+// Guards against a host that does not limit its requests to a cold server, one that sends its share before others have learnt of it,
+// and limits where the settings, the configuration or a member of the control group of an earlier release do not know them.
+it.each([
+	{
+		name: 'a limit', version: 3, coldBounds: {overrun: 1.5, slack: 5}, coldPerSecond: 17, least: 6, most: 7,
+	},
+	{
+		name: 'members of an earlier release', version: 2, coldBounds: {overrun: 1.5, slack: 5}, coldPerSecond: 17, least: 40, most: 40,
+	},
+	{
+		name: 'no bounds in the settings', version: 3, coldBounds: undefined, coldPerSecond: 17, least: 40, most: 40,
+	},
+	{
+		name: 'no rate in the configuration', version: 3, coldBounds: {overrun: 1.5, slack: 5}, coldPerSecond: undefined, least: 40, most: 40,
+	},
+])('sends $least to $most of 40 requests in a second to a cold server with $name', async ({version, coldBounds, coldPerSecond, least, most}) => {
+	const {cluster, clock, edge, leader, send, counters} = await start(3, {startupMs: 2500, coldBounds});
+	cluster.log.commandVersion = version;
+	const {cfg} = testTable([testRoute({name: '/old/', pathPrefix: '/old/'})]);
+	const source = JSON.stringify({...cfg, version: 2, services: cfg.services.map(service => ({...service, coldPerSecond}))});
+	await cluster.settle(leader.propose({type: 'apply-routing', version: 2, source}));
+	await cluster.settle(leader.propose({type: 'backend-joined', server: testBackend('a', {incarnation: 2, coldMs: 2500}), at: clock.wallTime()}));
+	await clock.advance(500);
+	const isLimited = most < 40;
+	expect(statusOf(send('/old/x'))).toBe(isLimited ? 503 : 200);
+	await clock.advance(4000);
+	const sent: Sent[] = [];
+	for (let count = 0; count < 40; count++) {
+		sent.push(send('/old/x'));
+		await clock.advance(25); // eslint-disable-line no-await-in-loop -- requests follow each other
+	}
+
+	const answered = sent.filter(item => statusOf(item) === 200).length;
+	expect(answered).toBeGreaterThanOrEqual(least);
+	expect(answered).toBeLessThanOrEqual(most);
+	expect(counters.sum('forward.cold-skipped') > 0).toBe(isLimited);
+	edge.dispose();
+	cluster.dispose();
+});
