--- a/src/testing/cold-simulation.ts
+++ b/src/testing/cold-simulation.ts
@@ -52,7 +52,7 @@
 	private readonly _clock: Clock;
 	private readonly _renewalMs: number;
 
-	constructor(readonly name: string, readonly zone: string, private readonly _fleet: ColdFleet, private readonly _random: SeededRandom) {
+	constructor(readonly name: string, private readonly _zone: string, private readonly _fleet: ColdFleet, private readonly _random: SeededRandom) {
 		const offset = _random.next() * 1_000_000;
 		const rate = 1 + (((_random.next() * 2) - 1) * maxDrift);
 		this._clock = {
@@ -64,7 +64,7 @@
 
 	get entry(): EntryHost {
 		return {
-			host: this.name, incarnation: this.incarnation, address: `${this.name}:1`, peerAddress: `${this.name}:2`, zone: this.zone, leaving: false,
+			host: this.name, incarnation: this.incarnation, address: `${this.name}:1`, peerAddress: `${this.name}:2`, zone: this._zone, leaving: false,
 		};
 	}
 
@@ -252,53 +252,37 @@
 		const recent = this._senders.filter(({isRunning}) => isRunning);
 		const host = pick % 2 === 0 && recent.length > 0 ? recent[(pick / 2) % recent.length]! : this._hosts[pick % this._hosts.length]!;
 		const {server} = this.directory;
-		switch (kind) {
-			case 'join': {
-				// A host of the server's zone takes the place of another one.
+		const changes: Record<ColdEvent['kind'], () => void> = {
+			// A host of the server's zone takes the place of another one.
+			join: () => {
 				this._add(server.zone);
-				break;
-			}
-
-			case 'leave': {
+			},
+			leave: () => {
 				host.isRunning = false;
 				this.commit({gone: host.name});
-				break;
-			}
-
-			case 'restart': {
+			},
+			restart() {
 				host.restart();
-				break;
-			}
-
-			case 'cut': {
+			},
+			cut() {
 				host.isCut = true;
-				break;
-			}
-
-			case 'heal': {
+			},
+			heal: () => {
 				for (const other of this._hosts) {
 					other.isCut = false;
 				}
-
-				break;
-			}
-
-			case 'cold-process': {
+			},
+			'cold-process': () => {
 				this.commit({server: {...server, incarnation: server.incarnation + 1, coldSince: this.now}});
-				break;
-			}
-
-			case 'cold-again': {
+			},
+			'cold-again': () => {
 				this.commit({server: {...server, coldSince: this.now}});
-				break;
-			}
-
-			case 'warm': {
-				const {coldSince: _, ...warm} = server;
-				this.commit({server: warm});
-				break;
-			}
-		}
+			},
+			warm: () => {
+				this.commit({server: {...server, coldSince: undefined}});
+			},
+		};
+		changes[kind]();
 	}
 }
 
