--- a/src/testing/control-host-group.ts
+++ b/src/testing/control-host-group.ts
@@ -3,6 +3,7 @@
 import {plainTextCodec} from '../common/base/text-codec.js';
 import {DiskLogStorage} from '../common/consensus/disk-log-storage.js';
 import {ControlHost} from '../common/host/control-host.js';
+import {type ControlHostOptions} from '../common/host/control-host-options.js';
 import {ManualClock} from './manual-clock.js';
 import {MemoryDisk} from './memory-disk.js';
 import {MemoryNetwork} from './memory-network.js';
@@ -13,8 +14,8 @@
 /** Three control hosts with disks, clock and network in memory. */
 export class ControlHostGroup {
 	/** Starts the hosts and waits for a leader. */
-	static async start(seed: number): Promise<ControlHostGroup> {
-		const group = new ControlHostGroup(seed);
+	static async start(seed: number, options: Pick<ControlHostOptions, 'parseColdStarts'> = {}): Promise<ControlHostGroup> {
+		const group = new ControlHostGroup(seed, options);
 		await Promise.all(names.map(async (_, index) => group.startHost(index)));
 		await group.waitForLeader();
 		return group;
@@ -29,7 +30,7 @@
 	private readonly _random: SeededRandom;
 	private _starts = 0;
 
-	private constructor(seed: number) {
+	private constructor(seed: number, private readonly _options: Pick<ControlHostOptions, 'parseColdStarts'>) {
 		this._random = new SeededRandom(seed);
 		this.network = new MemoryNetwork(this.clock, this._random.fork('network'));
 		this.disks = names.map(name => new MemoryDisk(this.clock, this._random.fork(`disk ${name}`)));
@@ -59,6 +60,7 @@
 			exposureLimit: {share: 0.15, slack: 30},
 			keepSeconds: 1,
 			codec: plainTextCodec,
+			...this._options,
 		});
 	}
 
