Try waiting requests by urgency and by turns of the customers

Requests that wait for a connection were tried in the order of their arrival, so that one customer's surge kept more urgent requests of others waiting. Without the option the order is unchanged.

--- a/src/common/forwarding/attempt-terms.ts
+++ b/src/common/forwarding/attempt-terms.ts
@@ -29,12 +29,17 @@
 		remainingMs: Math.max(1, Math.floor(remainingMs)),
 		customer: customer?.name,
 		model: model ?? req.generation?.model,
-		priority: req.generation && (customer?.priority ?? route.priority) + (isEscalated ? escalationPriorityOffset : 0),
+		priority: req.generation && priorityOf(admitted, isEscalated),
 		resumeAfter,
 		repetition: route.repetition,
 	};
 }
 
+/** Priority of a request, or of its attempt with a larger model; 0 is the most urgent. */
+export function priorityOf({customer, route}: AdmittedRequest, isEscalated: boolean): number {
+	return (customer?.priority ?? route.priority) + (isEscalated ? escalationPriorityOffset : 0);
+}
+
 /** Connection limit of this host to one backend server of a service: its share of the connections that the server accepts. */
 export function maxConnectionsOf({state}: Pick<ForwardServices, 'state'>, service: string): number {
 	const {table, hostCount} = state();
--- a/src/common/forwarding/engine-load.test.ts
+++ b/src/common/forwarding/engine-load.test.ts
@@ -13,7 +13,7 @@
 	{followsLoad: false, decision: /^kept-at-30:first-\d+ms:last-\d+ms$/v},
 	{followsLoad: true, decision: /^larger-asked-at-30:first-\d+ms:last-\d+ms:load-1.\d$/v},
 ])('notes $decision after a burst with followsLoad $followsLoad', async ({followsLoad, decision}) => {
-	const {clock, port, logger, send} = createForwarderFixture('stream', {models: ['small', 'large']}, undefined, new ModelSpeeds(followsLoad));
+	const {clock, port, logger, send} = createForwarderFixture('stream', {models: ['small', 'large']}, undefined, {speeds: new ModelSpeeds(followsLoad)});
 	const ask = async (confidence: number, smallMs: number) => {
 		port.attempts.length = 0;
 		send({generation});
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -7,7 +7,7 @@
 import {type AttemptEvents, type AttemptFailure, withdrawnReason} from './backend-port.js';
 import {CallerAnswer} from './caller-answer.js';
 import {type CallerSink, type Refusal} from './caller-sink.js';
-import {attemptTerms} from './attempt-terms.js';
+import {attemptTerms, priorityOf} from './attempt-terms.js';
 import {
 	chooseServer, hasFreeServer, limitShare, pauseOfAllMs,
 } from './choose-server.js';
@@ -211,9 +211,9 @@
 	/** Waits until a server that may take the request has a free connection. */
 	private _waitForPlace(excluded: ReadonlySet<string>): void {
 		const {places, counters, logger} = this._services;
-		const {service, req} = this._admitted;
+		const {service, req, customer} = this._admitted;
 		this._current = undefined;
-		this._wait = places.add(service, () => this._trySend(excluded));
+		this._wait = places.add(service, () => this._trySend(excluded), {urgency: priorityOf(this._admitted, this.model.isEscalated), customer: customer?.name});
 		if (this._wait) {
 			counters.increment('forward.waited-for-connection', 1, {service});
 			logger.info({req: req.id, service, waiting: places.size}, 'request waits for a connection to a server');
--- a/src/common/forwarding/place-queue.ts
+++ b/src/common/forwarding/place-queue.ts
@@ -1,5 +1,8 @@
 import {type Clock} from '../base/clock.js';
 import {type Disposable} from '../base/disposable.js';
+import {
+	ArrivalOrder, type PlaceOrder, type TryPlace, type WaitingForPlace,
+} from './place-order.js';
 
 /** Maximum number of requests of a service that wait; further requests are refused. */
 const maxWaiting = 1000;
@@ -8,17 +11,17 @@
 /** Interval in milliseconds at which the waiting requests are tried without a release: pauses and ejections of servers end without an event. */
 const retryIntervalMs = 100;
 
-/** Tries to place a request. @returns whether its wait is over: it was placed or has ended. */
-export type TryPlace = () => boolean;
+const anyRequest = {urgency: 0, customer: undefined};
 
-/** Queues requests, by service and in the order of their arrival, while all servers that may take them have all their connections in use. */
+/** Queues requests by service while all servers that may take them have all their connections in use. */
 export class PlaceQueue implements Disposable {
-	private readonly _waiting = new Map<string, Set<TryPlace>>();
+	private readonly _waiting = new Map<string, PlaceOrder>();
 	/** Services whose queue is being released; the value tells whether to go through it again. */
 	private readonly _releasing = new Map<string, boolean>();
 	private _timer: Disposable | undefined;
 
-	constructor(private readonly _clock: Clock) {}
+	/** `_createOrder` creates the order in which the requests of a service are tried; by default that of their arrival. */
+	constructor(private readonly _clock: Clock, private readonly _createOrder: () => PlaceOrder = () => new ArrivalOrder()) {}
 
 	/** Number of waiting requests. */
 	get size(): number {
@@ -31,10 +34,10 @@
 	}
 
 	/** Adds a request, which is tried whenever a place may be free. @returns its place in the queue; undefined when the queue is full. */
-	add(service: string, tryPlace: TryPlace): Disposable | undefined {
+	add(service: string, tryPlace: TryPlace, from: Omit<WaitingForPlace, 'tryPlace'> = anyRequest): Disposable | undefined {
 		let waiting = this._waiting.get(service);
 		if (!waiting) {
-			waiting = new Set();
+			waiting = this._createOrder();
 			this._waiting.set(service, waiting);
 		}
 
@@ -42,11 +45,12 @@
 			return undefined;
 		}
 
-		waiting.add(tryPlace);
+		const request = {...from, tryPlace};
+		waiting.add(request);
 		this._schedule();
 		return {
 			dispose: () => {
-				this._remove(service, tryPlace);
+				this._remove(service, request);
 			},
 		};
 	}
@@ -81,18 +85,20 @@
 
 	private _releaseOnce(service: string, limit: number): void {
 		let blocked = 0;
-		for (const tryPlace of this._waiting.get(service) ?? []) {
-			if (tryPlace()) {
-				this._remove(service, tryPlace);
+		const waiting = this._waiting.get(service);
+		for (const request of waiting ?? []) {
+			if (request.tryPlace()) {
+				waiting?.recordPlaced(request);
+				this._remove(service, request);
 			} else if (++blocked >= limit) {
 				return;
 			}
 		}
 	}
 
-	private _remove(service: string, tryPlace: TryPlace): void {
+	private _remove(service: string, request: WaitingForPlace): void {
 		const waiting = this._waiting.get(service);
-		waiting?.delete(tryPlace);
+		waiting?.delete(request);
 		if (waiting?.size === 0) {
 			this._waiting.delete(service);
 		}
--- a/src/common/host/forward-host.ts
+++ b/src/common/host/forward-host.ts
@@ -32,6 +32,7 @@
 import {type RoutingConfig} from '../forwarding/routing-config.js';
 import {ServerPool} from '../forwarding/server-pool.js';
 import {SlackShare} from '../forwarding/slack-share.js';
+import {UrgencyOrder} from '../forwarding/urgency-order.js';
 import {ReleaseRecorder} from '../release/release-recorder.js';
 import {StickySessions} from '../release/sticky-sessions.js';
 import {TrialSessions} from '../release/trial-sessions.js';
@@ -70,7 +71,10 @@
 	readonly sessionMs: number;
 	/** What cold servers bear beyond their stated rate; undefined without limits for them. */
 	readonly coldBounds?: ColdBounds | undefined;
-	/** Whether callers compete for insufficient capacity, so that the expected times of models follow the load of the engines; false by default. */
+	/**
+	Whether callers compete for insufficient capacity: the expected times of models follow the load of the engines, and requests
+	that wait for a connection are tried by urgency and by turns of the customers. False by default.
+	*/
 	readonly followsLoad?: boolean;
 }
 
@@ -103,7 +107,7 @@
 		} = _options;
 		this._voters = new KnownVoters(seeds);
 		this._peers = new PeerHosts(entry.host);
-		this._places = this._store.add(new PlaceQueue(clock));
+		this._places = this._store.add(new PlaceQueue(clock, _options.followsLoad ? () => new UrgencyOrder() : undefined));
 		this._slackShare = new SlackShare(clock, leaseMs, leaseMs + _options.repeatLimit.windowMs);
 		this._cold = new SharedColdServers(entry.host, clock, service => this._coldLimit(service));
 		this.follower = this._store.add(new ControlFollower({..._options, voters: () => this._voters.hosts, sections: []}));
--- a/src/testing/forwarder-fixture.ts
+++ b/src/testing/forwarder-fixture.ts
@@ -73,19 +73,19 @@
 }
 
 /** Parts of a forwarder that a test sets; the others do nothing. */
-export type TestForwarderOptions = Pick<ForwardServices, 'clock' | 'lease' | 'pool' | 'port' | 'budget' | 'state'> & Partial<Pick<ForwardServices, 'held' | 'observer' | 'crashes' | 'reach' | 'peers' | 'peerPort' | 'counters' | 'confirmConfiguration' | 'configurationBoundMs' | 'logger' | 'speeds'>> & {readonly random: RandomSource};
+export type TestForwarderOptions = Pick<ForwardServices, 'clock' | 'lease' | 'pool' | 'port' | 'budget' | 'state'> & Partial<Pick<ForwardServices, 'held' | 'observer' | 'crashes' | 'reach' | 'peers' | 'peerPort' | 'counters' | 'confirmConfiguration' | 'configurationBoundMs' | 'logger' | 'speeds' | 'places'>> & {readonly random: RandomSource};
 
 /** Creates a forwarder without sticky sessions. */
 export function createTestForwarder({
 	random, held = new HeldBytes(), observer = nullReleaseObserver, crashes = nullCrashes, reach = nullReach, peers = new PeerHosts('self'), peerPort = new ScriptedPort(), counters = nullCounters, confirmConfiguration = () => undefined, configurationBoundMs = 2000, logger = nullLogger, speeds = new ModelSpeeds(), ...options
 }: TestForwarderOptions): Forwarder {
 	return new Forwarder({
-		...options, held, observer, crashes, reach, peers, peerPort, counters, confirmConfiguration, configurationBoundMs, digests: testDigests, zone: 'z', logger, placement: new AffinityPlacement(random), cold: unlimitedColdServers, places: new PlaceQueue(options.clock), speeds, models: new LoadAwareCascade(60, 1), sessions: {recordRequest: () => undefined, isSticky: () => false}, random: () => random.next(),
+		...options, held, observer, crashes, reach, peers, peerPort, counters, confirmConfiguration, configurationBoundMs, digests: testDigests, zone: 'z', logger, placement: new AffinityPlacement(random), cold: unlimitedColdServers, places: options.places ?? new PlaceQueue(options.clock), speeds, models: new LoadAwareCascade(60, 1), sessions: {recordRequest: () => undefined, isSticky: () => false}, random: () => random.next(),
 	});
 }
 
 /** Creates a forwarder with one route, a manual clock and scripted backend servers. */
-export function createForwarderFixture(kind: Repetition, changes: Partial<Route> = {}, servers: readonly BackendServer[] = [testBackend('a'), testBackend('bb'), testBackend('ccc')], speeds = new ModelSpeeds()) {
+export function createForwarderFixture(kind: Repetition, changes: Partial<Route> = {}, servers: readonly BackendServer[] = [testBackend('a'), testBackend('bb'), testBackend('ccc')], services: Pick<TestForwarderOptions, 'speeds' | 'places'> = {}) {
 	const route = testRoute({
 		hostname: 'h.example', pathPrefix: '/a/', repetition: kind, targetLatencyMs: 500, priority: 2, isAnonymous: false, isResumable: kind === repetition.stream, ...changes,
 	});
@@ -121,7 +121,7 @@
 	const peerPort = new ScriptedPort();
 	const reach = {...nullReach};
 	const forwarder = createTestForwarder({
-		clock, lease, random, pool, port, crashes, counters, logger, peers, peerPort, reach, speeds, confirmConfiguration: () => confirmationsAsked.push(clock.now()), budget: () => budget, state: () => ({
+		clock, lease, random, pool, port, crashes, counters, logger, peers, peerPort, reach, ...services, confirmConfiguration: () => confirmationsAsked.push(clock.now()), budget: () => budget, state: () => ({
 			table, rollouts, quarantinedParts, quarantinedRequests, hostCount: 1, hostIndex: 0,
 		}),
 	});
