Draw evacuations in the soak and judge them from outside

The rule EVACUATED finds requests that reach the zone later than 5 s after the acknowledgement, and zones that get none after the withdrawal. judges.test.ts: 59 cases pass.

--- a/src/soak/judges/judges.test.ts
+++ b/src/soak/judges/judges.test.ts
@@ -27,7 +27,7 @@
 	record.requests.set(id, request);
 	if (runChanges !== null) {
 		record.recordRun({
-			server: 'a', service: 's', id, at: 10_010, method: 'POST', path: '/x', model: '', signature: `a.${id}`, deadlineMs: 2900, isSound: true, body: 'body', status: 200, end: 'complete', endedAt: 10_050, ...runChanges,
+			server: 'a', service: 's', zone: 'z', id, at: 10_010, method: 'POST', path: '/x', model: '', signature: `a.${id}`, deadlineMs: 2900, isSound: true, body: 'body', status: 200, end: 'complete', endedAt: 10_050, ...runChanges,
 		});
 	}
 
@@ -64,6 +64,20 @@
 			record.recordRun({...record.runs.get(long)![0]!, server: 'b', signature: 'b'});
 		},
 	},
+	{
+		allowed: 'requests to a zone within 5 s of its evacuation and after its withdrawal was sent', act(record) {
+			record.evacuations.push({
+				zone: 'z', acknowledgedAt: 5100, endSentAt: Infinity, isEnded: false,
+			}, {
+				zone: 'z', acknowledgedAt: 0, endSentAt: 10_005, isEnded: true,
+			}, {
+				zone: 'y', acknowledgedAt: 0, endSentAt: Infinity, isEnded: false,
+			});
+			repeat(100, id => {
+				play(record, {id});
+			});
+		},
+	},
 	{
 		allowed: 'a stream that ends early and does not look complete', act(record) {
 			play(record, {id: long, isStream: true}, {}, {body: eventTexts(long)[0], end: 'cut'});
@@ -238,6 +252,24 @@
 			play(record);
 		},
 	},
+	{
+		planted: 'a request to an evacuated zone', rule: 'EVACUATED', act(record) {
+			record.evacuations.push({
+				zone: 'z', acknowledgedAt: 4700, endSentAt: Infinity, isEnded: false,
+			});
+			play(record);
+		},
+	},
+	{
+		planted: 'a zone that stays without requests after its evacuation', rule: 'EVACUATED', act(record) {
+			record.evacuations.push({
+				zone: 'y', acknowledgedAt: 0, endSentAt: 5000, isEnded: true,
+			});
+			repeat(100, id => {
+				play(record, {id});
+			});
+		},
+	},
 	{
 		planted: 'a request that a planned stop interrupts', rule: 'LOST', act(record) {
 			record.plannedWork.push({
--- a/src/soak/judges/judges.ts
+++ b/src/soak/judges/judges.ts
@@ -1,6 +1,7 @@
 import {judgeBudget} from './budget.js';
 import {judgeConfig, judgeConfigReads} from './config.js';
 import {judgeDrain} from './drain.js';
+import {judgeEvacuated} from './evacuated.js';
 import {judgeGone} from './gone.js';
 import {judgeLost} from './lost.js';
 import {judgeMixed} from './mixed.js';
@@ -22,6 +23,7 @@
 	['UNASKED', judgeUnasked],
 	['GONE', judgeGone],
 	['DRAIN', judgeDrain],
+	['EVACUATED', judgeEvacuated],
 	['CONFIG', judgeConfig],
 	['CONFIG', judgeConfigReads],
 	['BUDGET', judgeBudget],
--- a/src/soak/judges/soak-history.ts
+++ b/src/soak/judges/soak-history.ts
@@ -49,6 +49,7 @@
 export interface SoakRun {
 	readonly server: string;
 	readonly service: string;
+	readonly zone: string;
 	readonly id: string;
 	readonly at: number;
 	readonly method: string;
@@ -141,6 +142,16 @@
 	readonly ageMs: number;
 }
 
+/** Evacuation of a zone as an operator saw it. */
+export interface Evacuation {
+	readonly zone: string;
+	readonly acknowledgedAt: number;
+	/** Time at which its withdrawal was sent for the first time. */
+	endSentAt: number;
+	/** Whether its withdrawal was acknowledged. */
+	isEnded: boolean;
+}
+
 /** Everything that callers, backend servers and operators saw in a run, from outside the system. */
 export interface SoakHistory {
 	/** Whether the run has planned work only. */
@@ -167,6 +178,7 @@
 	readonly leaves: ReadonlyMap<string, number>;
 	/** Backend servers that ended or were cut off. */
 	readonly endedServers: ReadonlySet<string>;
+	readonly evacuations: readonly Evacuation[];
 	readonly plannedWork: readonly PlannedWork[];
 	readonly ownEnds: readonly OwnEnd[];
 }
--- a/src/soak/soak-recorder.ts
+++ b/src/soak/soak-recorder.ts
@@ -1,5 +1,5 @@
 import {
-	type OwnEnd, type PlannedWork, type ReadConfiguration, type SentConfiguration, type SoakHistory, type SoakOutcome, type SoakRequest, type SoakRun,
+	type Evacuation, type OwnEnd, type PlannedWork, type ReadConfiguration, type SentConfiguration, type SoakHistory, type SoakOutcome, type SoakRequest, type SoakRun,
 } from './judges/soak-history.js';
 
 /** Records what callers, backend servers and operators see. */
@@ -14,6 +14,7 @@
 	readonly unreadable: string[] = [];
 	readonly leaves = new Map<string, number>();
 	readonly endedServers = new Set<string>();
+	readonly evacuations: Evacuation[] = [];
 	readonly plannedWork: PlannedWork[] = [];
 	readonly ownEnds: OwnEnd[] = [];
 	longestPauseMs = 0;
@@ -35,6 +36,7 @@
 			runs: [...this.runs.values()].reduce((sum, {length}) => sum + length, 0),
 			changes: this.acknowledgements.length,
 			drains: this.leaves.size,
+			evacuations: this.evacuations.length,
 			replacements: this.replacements,
 		};
 	}
