--- a/src/cli/check-command.test.ts
+++ b/src/cli/check-command.test.ts
@@ -14,7 +14,8 @@
 		name: 'a part without effect', text: JSON.stringify(twice, undefined, 1), code: exitCode.ok, issues: [{level: 'warning', line: 13, path: 'customers[1].keySha256'}],
 	},
 	{
-		name: 'two errors', text: 'service: Notes\nversions: [small@1]\ncustomers: []\n', code: exitCode.invalid, issues: [{level: 'error', line: 1, path: 'service'}, {level: 'error', line: 3, path: 'customers'}],
+		name: 'two errors', text: 'service: Notes\nversions: [small@1]\ncustomers: []\n', code: exitCode.invalid,
+		issues: [{level: 'error', line: 1, path: 'service'}, {level: 'error', line: 3, path: 'customers'}],
 	},
 	{
 		name: 'no YAML', text: 'service: [notes\n', code: exitCode.invalid, issues: [{level: 'error', line: 2, path: ''}],
@@ -23,9 +24,7 @@
 	const out: string[] = [];
 	const result = await runCli(['check', 'notes.yaml', '--json'], {
 		env: {},
-		line(line) {
-			out.push(line);
-		},
+		line: line => out.push(line),
 		errorLine: () => undefined,
 		readFile: async () => text,
 		writeFile: async () => undefined,
