Forget the samples of larger models sooner where the load is known

Where the small model takes precedence at the engines, its times show little of the load, and the many samples of a burst outweighed the few ones after it. With followsLoad a sample counts half after 3 s or 10 further samples.

--- a/src/common/forwarding/decayed-line.ts
+++ b/src/common/forwarding/decayed-line.ts
@@ -10,12 +10,12 @@
 	private _xy = 0;
 	private _decayedAt = 0;
 
-	/** `_halfLifeMs` is the time in milliseconds after which a sample counts half. */
-	constructor(private readonly _halfLifeMs: number) {}
+	/** `_halfLifeMs` is the time in milliseconds, `_halfLifeSamples` the number of further samples after which a sample counts half. */
+	constructor(private readonly _halfLifeMs: number, private readonly _halfLifeSamples = Infinity) {}
 
 	/** Adds a sample that counts as `weight` samples. */
 	add(x: number, y: number, now: number, weight = 1): void {
-		const factor = 0.5 ** (Math.max(0, now - this._decayedAt) / this._halfLifeMs);
+		const factor = 0.5 ** ((Math.max(0, now - this._decayedAt) / this._halfLifeMs) + (1 / this._halfLifeSamples));
 		this._decayedAt = now;
 		this._count = (this._count * factor) + weight;
 		this._x = (this._x * factor) + (weight * x);
--- a/src/common/forwarding/model-speed.ts
+++ b/src/common/forwarding/model-speed.ts
@@ -5,6 +5,12 @@
 
 /** Half-life in milliseconds of the samples; a host sends about one request a second to a large model. */
 const halfLifeMs = 10_000;
+/**
+Half-life of the samples in milliseconds and in samples when the expected times follow the load, so that the many samples of a
+burst do not outweigh the few ones after it where the load of the engines shows little in the times of the smallest model.
+*/
+const followingHalfLifeMs = 3000;
+const followingHalfLifeSamples = 10;
 
 /** Time in milliseconds without a sample after which the expected times begin to decay, so that the model is asked again. */
 const decayAfterMs = 5000;
@@ -28,11 +34,15 @@
 would depend on the few samples with the lowest loads.
 */
 export class ModelSpeed {
-	private readonly _firstEventMs = new DecayedLine(halfLifeMs);
-	private readonly _outputMs = new DecayedLine(halfLifeMs);
+	private readonly _firstEventMs: DecayedLine;
+	private readonly _outputMs: DecayedLine;
 	private _recordedAt = 0;
 
-	constructor(private readonly _load?: EngineLoad) {}
+	constructor(private readonly _load?: EngineLoad) {
+		const createLine = () => _load ? new DecayedLine(followingHalfLifeMs, followingHalfLifeSamples) : new DecayedLine(halfLifeMs);
+		this._firstEventMs = createLine();
+		this._outputMs = createLine();
+	}
 
 	/** Expected times of an answer; 0 before the first one, so that the model is asked. */
 	expected(generation: GenerationInfo, now: number): AnswerTimes {
