Refuse a request at once when all its servers are in evacuated zones, instead of handing it over

A request that could not reach a server before the evacuation, or of a host that has lost its links, went to up to eight other hosts, each of which would refuse it.

--- a/src/common/forwarding/evacuated-zones.test.ts
+++ b/src/common/forwarding/evacuated-zones.test.ts
@@ -162,8 +162,11 @@
 	expect(send({attemptsLeft: 2}).refusal).toMatchObject({code: 'zone-evacuated', ran: 'no'});
 	expect(send().refusal).toMatchObject({code: 'zone-evacuated', ran: 'no'});
 	expect(peerPort.attempts).toHaveLength(0);
-	// Entry hosts of an evacuated zone keep working.
 	reach.isLost = () => true;
+	expect(send().refusal).toMatchObject({code: 'zone-evacuated', ran: 'no'});
+	expect(peerPort.attempts).toHaveLength(0);
+	// Entry hosts of an evacuated zone keep working.
+	pool.update(servers, clock.now(), new Set(['y']));
 	send();
 	expect(peerPort.attempts).toHaveLength(1);
 });
@@ -176,3 +179,16 @@
 	port.attempts[0]!.events.onHead(answerHead({maxRefusalsPerSecond: 7}));
 	expect(pool.notDraining('s').map(({refusalLimit}) => refusalLimit.maxPerSecond)).toEqual([7, 7, 7, 7]);
 });
+
+// Guards against a request that goes from host to host although all of them would refuse it.
+it('hands no request over that could not reach its server before all zones were evacuated', () => {
+	const {pool, clock, port, peerPort, peers, send} = createForwarderFixture('once', {}, servers);
+	peers.update([{
+		host: 'h1', incarnation: 1, address: 'h1:1', peerAddress: 'h1:1', zone: 'z', leaving: false,
+	}]);
+	const sink = send();
+	pool.update(servers, clock.now(), new Set(['y', 'z']));
+	port.attempts[0]!.events.onFailure({isUnsent: true, reason: 'refused'});
+	expect(sink.refusal).toMatchObject({code: 'zone-evacuated', ran: 'no'});
+	expect(peerPort.attempts).toHaveLength(0);
+});
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -192,6 +192,12 @@
 		}
 
 		const {record, isFull} = chooseServer(this._services, this._admitted, excluded);
+		if (!record && !isFull && this._services.pool.isEvacuated(this._admitted.service)) {
+			// Another host would not send it either.
+			this._endWithoutAnswer(evacuatedReason);
+			return true;
+		}
+
 		const host = this._escalation.isHolding ? undefined : this._handOver.next(record !== undefined || isFull);
 		if (host) {
 			this._send(host, true);
@@ -202,7 +208,7 @@
 		} else if (isFull) {
 			return false;
 		} else {
-			this._endWithoutAnswer(this._services.pool.isEvacuated(this._admitted.service) ? evacuatedReason : 'no-server');
+			this._endWithoutAnswer('no-server');
 		}
 
 		return true;
