--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -197,6 +197,12 @@
 		}
 
 		const {record, isFull, roomInMs} = chooseServer(this._services, this._admitted, excluded);
+		if (!record && !isFull && this._services.pool.isEvacuated(this._admitted.service)) {
+			// Another host would not send it either.
+			this._endWithoutAnswer(evacuatedReason);
+			return true;
+		}
+
 		const host = this._escalation.isHolding ? undefined : this._handOver.next(record !== undefined || isFull);
 		if (host) {
 			this._send(host, true);
@@ -206,10 +212,8 @@
 			this._send(record, false);
 		} else if (isFull || this._waitForRoom(roomInMs)) {
 			return false;
-		} else if (roomInMs === undefined) {
-			this._endWithoutAnswer(this._services.pool.isEvacuated(this._admitted.service) ? evacuatedReason : 'no-server');
 		} else {
-			this._endWithoutAnswer(coldReason);
+			this._endWithoutAnswer(roomInMs === undefined ? 'no-server' : coldReason);
 		}
 
 		return true;
