Estimate the speed of each server at the leader

Entry hosts report with their renewals how long servers take relative to what they expect; the leader combines the reports into a weight of each process and returns the changed weights, by which placement chooses.

--- a/src/common/forwarding/attempt-evidence.ts
+++ b/src/common/forwarding/attempt-evidence.ts
@@ -1,16 +1,17 @@
 import {AnswerPace} from './answer-pace.js';
 import {type ReleaseObserver, type ReleaseSubject} from './release-observer.js';
+import {nullSpeedProbe, type SpeedProbe} from './speed-observer.js';
 
 /** Time in milliseconds after the first chunk of an answer at which its pace is recorded, so that slow streams are noticed before their end. */
 const paceSampleMs = 500;
 
-/** Evidence of one attempt on the release of its backend server. */
+/** Evidence of one attempt on the release and the speed of its backend server. */
 export class AttemptEvidence {
 	private readonly _pace = new AnswerPace();
 	private _hasHead = false;
 	private _hasPace = false;
 
-	constructor(private readonly _observer: ReleaseObserver, private readonly _subject: ReleaseSubject, private readonly _sentAt: number) {
+	constructor(private readonly _observer: ReleaseObserver, private readonly _subject: ReleaseSubject, private readonly _sentAt: number, private readonly _probe: SpeedProbe = nullSpeedProbe) {
 		_observer.recordSent(_subject);
 	}
 
@@ -24,6 +25,11 @@
 		this._hasHead = true;
 		this._observer.recordAnswer(this._subject, isFailed);
 		this._observer.recordHeadTime(this._subject, now - this._sentAt);
+		if (isFailed) {
+			this._probe.end();
+		} else {
+			this._probe.recordFirstEvent(now);
+		}
 	}
 
 	recordChunk(now: number, bytes: number): void {
@@ -44,12 +50,14 @@
 			this.recordBroken();
 		} else {
 			this._observer.recordHeadTime(this._subject, now - this._sentAt);
+			this._probe.recordFirstEvent(now);
 		}
 	}
 
 	/** Records what is known at the end of the attempt. */
 	finish(): void {
 		this._recordPace();
+		this._probe.end();
 	}
 
 	private _recordPace(): void {
@@ -57,6 +65,7 @@
 		if (!this._hasPace && msPerKib !== undefined) {
 			this._hasPace = true;
 			this._observer.recordPace(this._subject, msPerKib);
+			this._probe.recordPace(msPerKib);
 		}
 	}
 }
--- a/src/common/forwarding/forward-run.ts
+++ b/src/common/forwarding/forward-run.ts
@@ -27,6 +27,7 @@
 import {RequestAttempts} from './request-attempts.js';
 import {nullReleaseObserver} from './null-release-observer.js';
 import {type ServerRecord} from './server-pool.js';
+import {nullSpeedProbe} from './speed-observer.js';
 import {reportRequest} from './request-report.js';
 import {WriteCheck} from './write-check.js';
 
@@ -224,16 +225,18 @@
 
 	private _send(record: ServerRecord, isHandedOver: boolean): void {
 		const {
-			clock, port, peerPort, observer, counters, places, held, cold,
+			clock, port, peerPort, observer, counters, places, held, cold, serverSpeeds,
 		} = this._services;
 		const {service, route, req} = this._admitted;
 		const now = clock.now();
 		record.recordSent(limitShare(this._services), now);
 		cold.recordSent(record);
 		const model = isHandedOver ? undefined : this.model.name;
-		const attempt = new Attempt(record, model, now, new AttemptEvidence(isHandedOver ? nullReleaseObserver : observer, {
+		const subject = {
 			service, route: route.name, record, model: model ?? req.generation?.model,
-		}, now), held.open(record.key, record.server.id, () => {
+		};
+		const probe = isHandedOver ? nullSpeedProbe : serverSpeeds.observe({...subject, inputTokens: req.generation?.inputTokens ?? 0, sentAt: now});
+		const attempt = new Attempt(record, model, now, new AttemptEvidence(isHandedOver ? nullReleaseObserver : observer, subject, now, probe), held.open(record.key, record.server.id, () => {
 			this._onGivenUp(attempt);
 		}, heldKind.bufferedAnswer), isHandedOver, () => {
 			places.release(service);
--- a/src/common/forwarding/forward-services.ts
+++ b/src/common/forwarding/forward-services.ts
@@ -17,6 +17,7 @@
 import {type RequestDigest} from './request-digest.js';
 import {type RouteTable} from './route-table.js';
 import {type ServerPool} from './server-pool.js';
+import {type SpeedObserver} from './speed-observer.js';
 
 /** The replicated state on which the forwarding of requests depends. */
 export interface ForwardState {
@@ -78,6 +79,8 @@
 	readonly held: HeldBytes;
 	readonly models: ModelPolicy;
 	readonly speeds: ModelSpeeds;
+	/** Learns how fast each server is. */
+	readonly serverSpeeds: SpeedObserver;
 	readonly observer: ReleaseObserver;
 	readonly crashes: CrashObserver;
 	readonly digests: RequestDigest;
--- a/src/common/host/control-host.ts
+++ b/src/common/host/control-host.ts
@@ -34,6 +34,7 @@
 import {CrashSupervisor} from '../crashes/crash-supervisor.js';
 import {ReleaseSupervisor} from '../release/release-supervisor.js';
 import {StickySessionExchange} from '../release/sticky-sessions.js';
+import {SpeedEstimates} from '../speeds/speed-estimates.js';
 
 /** Options of `ControlHost`. */
 export interface ControlHostOptions {
@@ -116,6 +117,7 @@
 		this._store.add(this._service.addSection(this._store.add(new CrashSupervisor({...shared, leadership: this._service.leadership}))));
 		this._coldServers = this._store.add(new ColdServerWatch({...shared, leadership: this._service.leadership, coldStartMs: service => this._coldStartMs(service)}));
 		this._store.add(this._service.addSection(new StickySessionExchange(clock, _options.sessionMs)));
+		this._store.add(this._service.addSection(new SpeedEstimates(shared)));
 		this._entryList = new EntryList(_state, {isValid: () => true}, keepSeconds);
 	}
 
--- a/src/common/host/forward-host.ts
+++ b/src/common/host/forward-host.ts
@@ -34,6 +34,8 @@
 import {SlackShare} from '../forwarding/slack-share.js';
 import {ReleaseRecorder} from '../release/release-recorder.js';
 import {StickySessions} from '../release/sticky-sessions.js';
+import {ReceivedWeights} from '../speeds/received-weights.js';
+import {SpeedReporter} from '../speeds/speed-reporter.js';
 import {TrialSessions} from '../release/trial-sessions.js';
 
 /** Minimum confidence of an accepted answer of a small model; docs/platform-measurements.md has the side-by-side measurement. */
@@ -118,6 +120,9 @@
 		this._store.add(this.follower.addSection(sessions));
 		const crashes = this._store.add(new CrashRecorder({..._options, quarantinedRequests: () => this.follower.view.quarantinedRequests.keys()}));
 		this._store.add(this.follower.addSection(crashes));
+		const weights = new ReceivedWeights();
+		const serverSpeeds = new SpeedReporter(clock, weights);
+		this._store.add(this.follower.addSection(serverSpeeds));
 		this._store.add(this.follower.onRevision(() => {
 			this._applyRevision();
 			this._places.releaseAll();
@@ -150,11 +155,12 @@
 			reach: this._store.add(new ServerReach({
 				clock, logger, counters, addresses, pool: this._pool, random: () => random.next(),
 			})),
-			placement: new AffinityPlacement(random.fork('placement')),
+			placement: new AffinityPlacement(random.fork('placement'), weights),
 			places: this._places,
 			cold: this._cold,
 			held: _options.held,
 			speeds: new ModelSpeeds(),
+			serverSpeeds,
 			models: new LoadAwareCascade(acceptedConfidence, latencyMargin),
 			observer: this._recorder,
 			crashes,
--- a/src/layers.test.ts
+++ b/src/layers.test.ts
@@ -19,7 +19,7 @@
 };
 
 /** Order of the folders of `common`. A folder may import only from itself and the folders before it. */
-const commonOrder = ['base', 'documents', 'rollout', 'consensus', 'control', 'ledger', 'orders', 'evidence', 'routing', 'admission', 'burn', 'status', 'entry', 'forwarding', 'release', 'crashes', 'host'];
+const commonOrder = ['base', 'documents', 'rollout', 'consensus', 'control', 'ledger', 'orders', 'evidence', 'routing', 'admission', 'burn', 'status', 'entry', 'forwarding', 'speeds', 'release', 'crashes', 'host'];
 
 const files = readdirSync(root, {recursive: true, encoding: 'utf8'}).filter(file => file.endsWith('.ts') && !file.endsWith('.test.ts') && file.includes(path.sep));
 
--- a/src/testing/forwarder-fixture.ts
+++ b/src/testing/forwarder-fixture.ts
@@ -10,6 +10,7 @@
 import {unlimitedColdServers} from '../common/forwarding/cold-servers.js';
 import {type CrashObserver} from '../common/forwarding/crash-observer.js';
 import {type ForwardServices, type Reach} from '../common/forwarding/forward-services.js';
+import {nullSpeedObserver} from '../common/forwarding/speed-observer.js';
 import {type ForwardRequest} from '../common/forwarding/forward-request.js';
 import {Forwarder} from '../common/forwarding/forwarder.js';
 import {LoadAwareCascade} from '../common/forwarding/load-aware-cascade.js';
@@ -80,7 +81,7 @@
 	random, held = new HeldBytes(), observer = nullReleaseObserver, crashes = nullCrashes, reach = nullReach, peers = new PeerHosts('self'), peerPort = new ScriptedPort(), counters = nullCounters, confirmConfiguration = () => undefined, configurationBoundMs = 2000, logger = nullLogger, ...options
 }: TestForwarderOptions): Forwarder {
 	return new Forwarder({
-		...options, held, observer, crashes, reach, peers, peerPort, counters, confirmConfiguration, configurationBoundMs, digests: testDigests, zone: 'z', logger, placement: new AffinityPlacement(random), cold: unlimitedColdServers, places: new PlaceQueue(options.clock), speeds: new ModelSpeeds(), models: new LoadAwareCascade(60, 1), sessions: {recordRequest: () => undefined, isSticky: () => false}, random: () => random.next(),
+		...options, held, observer, crashes, reach, peers, peerPort, counters, confirmConfiguration, configurationBoundMs, digests: testDigests, zone: 'z', logger, placement: new AffinityPlacement(random), cold: unlimitedColdServers, places: new PlaceQueue(options.clock), speeds: new ModelSpeeds(), serverSpeeds: nullSpeedObserver, models: new LoadAwareCascade(60, 1), sessions: {recordRequest: () => undefined, isSticky: () => false}, random: () => random.next(),
 	});
 }
 
