--- a/src/common/speeds/speed-signal.ts
+++ b/src/common/speeds/speed-signal.ts
@@ -1,15 +1,21 @@
 import {DecayedMean} from './decayed-mean.js';
 
-/** Half-life in milliseconds of the estimate that decides the weight: with 3.5 requests a second, chance changes it by less than a tenth. */
-const slowHalfLifeMs = 6000;
-/** Half-life in milliseconds of the estimate that finds changes. */
-const fastHalfLifeMs = 1000;
+/** Half-life in milliseconds of the steady estimate. With 6 s, noise of a factor 2.5 moved the weights of servers by a tenth. */
+export const steadyHalfLifeMs = 16_000;
+/** Half-life in milliseconds of the estimate that finds changes. With 500 ms, a server with 3.5 requests a second that became 5 times slower was found half a second later. */
+const quickHalfLifeMs = 250;
 /** Number of observations without a difference that are added to either estimate. */
-const prior = {slow: 0.5, fast: 0.5} as const;
-/** Difference between both estimates from which the server has changed. Noise of a factor 2.5 in a period of 600 ms makes 0.31, and in three such periods in a row 0.66. */
-const minChange = 0.7;
-/** The same in standard errors of the fast estimate. */
-const minChangeErrors = 2.5;
+const prior = {steady: 0.5, quick: 0.3} as const;
+/** Difference between both estimates from which the server has changed, a factor of 3. With a factor of 2.6, noise of a factor 2.5 and the queues that it causes moved more than a tenth of the load. */
+const minChange = 1.1;
+/** The same in standard errors of the quick estimate. */
+const minChangeErrors = 2;
+/** Time in milliseconds after a change to a slower speed in which only a part of it counts: after noise, which lasts 600 ms, the server is found to be as fast as before. */
+const confirmMs = 1800;
+/** Largest part, as a logarithm, that counts in this time; with a weight of 0.55 more than half of the surplus load is gone. */
+const maxUnconfirmed = 0.6;
+/** Time in milliseconds after a change in which the estimate needs no further evidence against chance. */
+const settleMs = 5000;
 /** Time in milliseconds without observations after which the estimate begins to return to 0; a server at the lowest weight gets a request every two seconds. */
 const freshMs = 3000;
 /** Time in milliseconds in which it returns to 0. */
@@ -17,33 +23,44 @@
 
 /** Estimate of the logarithm of observed / expected time of one process: steady while nothing changes, and quick when the process changes by much. */
 export class SpeedSignal {
-	private readonly _slow = new DecayedMean(slowHalfLifeMs, prior.slow);
-	private readonly _fast = new DecayedMean(fastHalfLifeMs, prior.fast);
+	private readonly _steady = new DecayedMean(steadyHalfLifeMs, prior.steady);
+	private readonly _quick = new DecayedMean(quickHalfLifeMs, prior.quick);
 	private _observedAt = -Infinity;
+	private _changedAt = -Infinity;
+	/** Time of the last change to a slower speed, and the estimate before it. */
+	private _slowedAt = -Infinity;
+	private _before = 0;
 
 	/** Returns the number of observations on which the estimate is based. */
 	weight(now: number): number {
-		return this._slow.weight(now);
+		return this._steady.weight(now);
 	}
 
 	at(now: number): number {
 		const freshness = Math.min(1, Math.max(0, (this._observedAt + freshMs + fadeMs - now) / fadeMs));
-		return this._slow.at(now) * freshness;
+		const limit = now - this._slowedAt < confirmMs ? this._before + maxUnconfirmed : Infinity;
+		return Math.min(this._steady.at(now), limit) * freshness;
 	}
 
-	/** Standard error of the estimate, given the standard deviation of observations. */
+	/** Standard error of the estimate, given the standard deviation of observations; 0 shortly after a change, which was significant. */
 	error(deviation: number, now: number): number {
-		return errorOf(this._slow, deviation, now);
+		return now - this._changedAt < settleMs ? 0 : errorOf(this._steady, deviation, now);
 	}
 
 	/** Adds observations with their mean. */
 	add(mean: number, count: number, deviation: number, now: number): void {
-		this._slow.add(mean, count, now);
-		this._fast.add(mean, count, now);
+		this._steady.add(mean, count, now);
+		this._quick.add(mean, count, now);
 		this._observedAt = now;
-		const change = Math.abs(this._fast.at(now) - this._slow.at(now));
-		if (change > Math.max(minChange, minChangeErrors * errorOf(this._fast, deviation, now))) {
-			this._slow.copy(this._fast, now);
+		const change = this._quick.at(now) - this._steady.at(now);
+		if (Math.abs(change) > Math.max(minChange, minChangeErrors * errorOf(this._quick, deviation, now))) {
+			if (change > 0 && now - this._slowedAt > confirmMs) {
+				this._before = this._steady.at(now);
+				this._slowedAt = now;
+			}
+
+			this._changedAt = now;
+			this._steady.copy(this._quick, now);
 		}
 	}
 }
--- a/src/common/speeds/weight-level.ts
+++ b/src/common/speeds/weight-level.ts
@@ -6,8 +6,8 @@
 const deadBandErrors = 3;
 /** Fraction of the dead band below which a weight returns to 1. */
 const returnFraction = 0.6;
-/** Difference in steps from which a weight changes; more than half, so that it does not alternate between two values. */
-const minStepChange = 0.75;
+/** Difference in steps from which a weight changes; a smaller one lets noise move weights more often. */
+const minStepChange = 2;
 /** Limits of the weights: a slower server still gets requests that show when it has recovered, and a faster one is not flooded by a wrong estimate. */
 const limits = {min: Math.log(0.15), max: Math.log(3)} as const;
 
--- a/src/testing/sized-server.ts
+++ b/src/testing/sized-server.ts
@@ -6,11 +6,15 @@
 /** Time in milliseconds for which an engine keeps a part of a prompt that nobody uses. */
 const keptMs = 7000;
 
+/** Time in milliseconds after the first event at which hosts know the pace of an answer, if it has not ended before. */
+const paceSampleMs = 500;
+
 /** Answer of a simulated server. */
 export interface SimulatedTimes {
 	readonly onFirstEvent: () => void;
-	/** `msPerKib` is the pace of the answer. */
-	readonly onEnd: (msPerKib: number) => void;
+	/** Called with the pace of the answer in milliseconds for 1,024 bytes, when that is known. */
+	readonly onPace: (msPerKib: number) => void;
+	readonly onEnd: () => void;
 }
 
 /** Server with a speed, which may be noisy, and which a test changes. An engine processes one prompt at a time; a plain server has slots. */
@@ -34,7 +38,7 @@
 	}
 
 	/** Runs a request. `partMs` is the work of a shared part that is saved when it is kept; `answerMs` that of 1,024 bytes of the answer. */
-	run({part, partMs, ownMs, answerKib, msPerKib}: {part: string | undefined; partMs: number; ownMs: number; answerKib: number; msPerKib: number}, {onFirstEvent, onEnd}: SimulatedTimes): void {
+	run({part, partMs, ownMs, answerKib, msPerKib}: {part: string | undefined; partMs: number; ownMs: number; answerKib: number; msPerKib: number}, {onFirstEvent, onPace, onEnd}: SimulatedTimes): void {
 		const isKept = part === undefined || this._time.now - (this._usedAt.get(part) ?? -Infinity) < keptMs;
 		if (part !== undefined) {
 			this._usedAt.set(part, this._time.now);
@@ -49,9 +53,13 @@
 			onFirstEvent();
 			this._running++;
 			const pace = msPerKib * (1 + (this._running / 16)) / this._currentSpeed;
-			this._time.at(this._time.now + (pace * answerKib), () => {
+			const answerMs = pace * answerKib;
+			this._time.at(this._time.now + Math.min(paceSampleMs, answerMs), () => {
+				onPace(pace);
+			});
+			this._time.at(this._time.now + answerMs, () => {
 				this._running--;
-				onEnd(pace);
+				onEnd();
 			});
 		});
 	}
--- a/src/testing/speed-simulation.ts
+++ b/src/testing/speed-simulation.ts
@@ -180,12 +180,13 @@
 				sent.firstEventMs = this.time.now - startedAt;
 				probe.recordFirstEvent(this.time.now);
 			},
-			onEnd: msPerKib => {
-				record.inFlight--;
+			onPace: msPerKib => {
 				if (parts > 0) {
 					probe.recordPace(msPerKib);
 				}
-
+			},
+			onEnd: () => {
+				record.inFlight--;
 				probe.end();
 			},
 		});
