--- a/src/common/speeds/service-speeds.ts
+++ b/src/common/speeds/service-speeds.ts
@@ -32,7 +32,7 @@
 			const {level} = server;
 			// The signal that shows the slower server counts: one that starts answers late or one that continues them slowly handles less load.
 			const relative = server.known(now).map(name => ({slowness: server.signals[name].at(now) - medians[name], error: server.signals[name].error(deviation, now)}));
-			const slowest = relative.reduce<typeof relative[number] | undefined>((best, signal) => best && best.slowness >= signal.slowness ? best : signal, undefined);
+			const slowest = relative.find(({slowness}) => slowness === Math.max(...relative.map(other => other.slowness)));
 			server.level = slowest ? weightLevel(slowest.slowness, slowest.error, level) : 0;
 			return server.level !== level;
 		});
--- a/src/testing/speed-simulation.ts
+++ b/src/testing/speed-simulation.ts
@@ -167,7 +167,9 @@
 		}, records, this.time.now)!;
 		const startedAt = this.time.now;
 		const index = records.indexOf(record);
-		const sent: SentRequest = {at: startedAt, server: index, workMs: ownMs, firstEventMs: Infinity};
+		const sent: SentRequest = {
+			at: startedAt, server: index, workMs: ownMs, firstEventMs: Infinity,
+		};
 		this.sent.push(sent);
 		record.inFlight++;
 		const probe = reporter.observe({
@@ -180,12 +182,12 @@
 				sent.firstEventMs = this.time.now - startedAt;
 				probe.recordFirstEvent(this.time.now);
 			},
-			onPace: msPerKib => {
+			onPace(msPerKib) {
 				if (parts > 0) {
 					probe.recordPace(msPerKib);
 				}
 			},
-			onEnd: () => {
+			onEnd() {
 				record.inFlight--;
 				probe.end();
 			},
