Merge the learned speeds of servers, with weights for small differences only where many servers differ

A service counts as unequal when a fifth of its servers differ; a single server needs a factor of 2.

--- a/src/common/host/control-host.ts
+++ b/src/common/host/control-host.ts
@@ -26,6 +26,7 @@
 import {CrashSupervisor} from '../crashes/crash-supervisor.js';
 import {ReleaseSupervisor} from '../release/release-supervisor.js';
 import {StickySessionExchange} from '../release/sticky-sessions.js';
+import {SpeedEstimates} from '../speeds/speed-estimates.js';
 import {type ControlHostOptions} from './control-host-options.js';
 
 /** Minimum interval in milliseconds between two batches of log entries: with nine members, bursts of changes take a quarter of a small processor. */
@@ -78,6 +79,7 @@
 		this._store.add(this._service.addSection(this._store.add(new CrashSupervisor({...shared, leadership: this._service.leadership}))));
 		this._coldServers = this._store.add(new ColdServerWatch({...shared, leadership: this._service.leadership, coldStartMs: service => this._coldStartMs(service)}));
 		this._store.add(this._service.addSection(new StickySessionExchange(clock, _options.sessionMs)));
+		this._store.add(this._service.addSection(new SpeedEstimates(shared)));
 		this._entryList = new EntryList(_state, {isValid: () => true}, {keepSeconds, maxLength: maxListed});
 	}
 
--- a/src/common/host/forward-host.ts
+++ b/src/common/host/forward-host.ts
@@ -35,6 +35,8 @@
 import {UrgencyOrder} from '../forwarding/urgency-order.js';
 import {ReleaseRecorder} from '../release/release-recorder.js';
 import {StickySessions} from '../release/sticky-sessions.js';
+import {ReceivedWeights} from '../speeds/received-weights.js';
+import {SpeedReporter} from '../speeds/speed-reporter.js';
 import {TrialSessions} from '../release/trial-sessions.js';
 import {ColdServerLog} from './cold-server-log.js';
 
@@ -127,6 +129,9 @@
 		this._store.add(this.follower.addSection(sessions));
 		const crashes = this._store.add(new CrashRecorder({..._options, quarantinedRequests: () => this.follower.view.quarantinedRequests.keys()}));
 		this._store.add(this.follower.addSection(crashes));
+		const weights = new ReceivedWeights();
+		const serverSpeeds = new SpeedReporter(clock, weights);
+		this._store.add(this.follower.addSection(serverSpeeds));
 		this._store.add(this.follower.onRevision(() => {
 			this._applyRevision();
 			this._places.releaseAll();
@@ -160,11 +165,12 @@
 			reach: this._store.add(new ServerReach({
 				clock, logger, counters, addresses, pool: this._pool, random: () => random.next(),
 			})),
-			placement: new AffinityPlacement(random.fork('placement')),
+			placement: new AffinityPlacement(random.fork('placement'), weights),
 			places: this._places,
 			cold: this._cold,
 			held: _options.held,
 			speeds: new ModelSpeeds(_options.followsLoad),
+			serverSpeeds,
 			models: new LoadAwareCascade(acceptedConfidence, latencyMargin),
 			observer: this._recorder,
 			crashes,
--- /dev/null
+++ b/src/common/speeds/service-speeds.ts
@@ -0,0 +1,63 @@
+import {DecayedMean} from './decayed-mean.js';
+import {type ServerSpeed, type SignalName} from './server-speed.js';
+import {weightLevel} from './weight-level.js';
+
+/** Half-life in milliseconds of the differences of observations from the estimates. */
+const halfLifeMs = 10_000;
+/** Variance of the logarithm of a ratio that is assumed at first, and the number of observations for which the assumption counts. */
+const assumed = {variance: 0.25, observations: 10} as const;
+/** Largest square of a difference that counts, so that a change of speed does not pass for noise. */
+const maxSquare = 1;
+
+/** Slowness, as a logarithm, from which a single server has a weight other than 1 although the others are equal: a factor of 2, which chance does not reach. */
+const singleSlowness = Math.log(2);
+/** Share of the servers that differ from the median from which a service counts as one with unequal servers, and below which it no longer does. */
+const unequalShare = {from: 0.2, below: 0.1} as const;
+
+/**
+Compares the servers of one service with each other.
+
+Among equal servers, chance makes a few look different, and moving their load would only cost prompt parts that are kept. So small
+differences count only where many servers differ; a large one always counts.
+*/
+export class ServiceSpeeds {
+	private _isUnequal = false;
+	/** Squares of differences from the estimates, less the assumed variance. */
+	private readonly _squares = new DecayedMean(halfLifeMs, assumed.observations);
+
+	/** Records by how much the mean of some observations differs from the estimate of their server. */
+	recordDifference(difference: number, count: number, now: number): void {
+		this._squares.add(Math.min(maxSquare, count * (difference ** 2)) - assumed.variance, 1, now);
+	}
+
+	/** Standard deviation of an observation. */
+	deviation(now: number): number {
+		return Math.sqrt(Math.max(0.01, assumed.variance + this._squares.at(now)));
+	}
+
+	/** Sets the levels of servers by their estimates relative to the median. @returns the servers whose level has changed. */
+	changedServers(servers: readonly ServerSpeed[], now: number): ServerSpeed[] {
+		const deviation = this.deviation(now);
+		const medians = {first: medianOf(servers, 'first', now), pace: medianOf(servers, 'pace', now)};
+		const compared = servers.map(server => {
+			// The signal that shows the slower server counts: one that starts answers late or one that continues them slowly handles less load.
+			const relative = server.known(now).map(name => ({slowness: server.signals[name].at(now) - medians[name], error: server.signals[name].error(deviation, now)}));
+			const slowest = relative.find(({slowness}) => slowness === Math.max(...relative.map(other => other.slowness)));
+			return {server, slowness: slowest?.slowness ?? 0, level: slowest ? weightLevel(slowest.slowness, slowest.error, server.level) : 0};
+		});
+		const share = compared.filter(({level}) => level !== 0).length / Math.max(1, compared.length);
+		this._isUnequal = share >= (this._isUnequal ? unequalShare.below : unequalShare.from);
+		return compared.filter(({server, slowness, level}) => {
+			const previous = server.level;
+			server.level = this._isUnequal || Math.abs(slowness) >= singleSlowness ? level : 0;
+			return server.level !== previous;
+		}).map(({server}) => server);
+	}
+}
+
+/** Median of the estimates of the servers that are known; a single changed server does not move it. */
+function medianOf(servers: readonly ServerSpeed[], signal: SignalName, now: number): number {
+	const values = servers.filter(server => server.known(now).includes(signal)).map(server => server.signals[signal].at(now)).sort((left, right) => left - right);
+	const middle = values.length / 2;
+	return values.length === 0 ? 0 : (values[Math.ceil(middle) - 1]! + values[Math.floor(middle)]!) / 2;
+}
