Grant no lease for longer than its duration to a host with a replaced configuration

With Bounds.ConfigApplyMs above 4,500 such a host got a lease of up to that time less 500 ms (8,439 ms were seen at 10,000), and so could send to servers of a zone for longer than 5 s after the acknowledgement of its evacuation.

--- a/src/common/control/control-node.ts
+++ b/src/common/control/control-node.ts
@@ -47,6 +47,8 @@
 	readonly keepSeconds?: number;
 	/** Codec of routing contents, which are then fetched apart from the renewals. */
 	readonly codec?: TextCodec | undefined;
+	/** Time in milliseconds after its acknowledgement at which a routing configuration must be in force. */
+	readonly configurationBoundMs?: number | undefined;
 }
 
 /** Control components of one daemon: the follower, the directory and, on voters, the service. */
--- a/src/common/control/control-service.ts
+++ b/src/common/control/control-service.ts
@@ -48,7 +48,7 @@
 	/** Codec of the control state; texts stay as they are by default. */
 	readonly codec?: TextCodec | undefined;
 	/** Time in milliseconds after its acknowledgement at which a routing configuration must be in force. */
-	readonly configurationBoundMs?: number;
+	readonly configurationBoundMs?: number | undefined;
 
 	readonly sections?: ReadonlyArray<LeaderSection<any, any>>;
 }
@@ -215,7 +215,8 @@
 		}
 
 		const replacement = this._routingContents.replacementOf(req.routing);
-		const leftMs = replacement ? replacement.at + this._maxReplacedMs - now : 0;
+		// A later change of the directory or of evacuations reaches the daemon within the duration of a lease, however late configurations may be in force.
+		const leftMs = replacement ? Math.min(leaseMs, replacement.at + this._maxReplacedMs - now) : 0;
 		// Without the time of the commit, the configuration may have been replaced long ago.
 		if (!replacement?.isCommitTime || leftMs <= 0) {
 			return 0;
--- a/src/common/control/routing-leases.test.ts
+++ b/src/common/control/routing-leases.test.ts
@@ -115,6 +115,37 @@
 	cluster.dispose();
 });
 
+// Guards against a host that acts for longer than a lease by a directory and evacuations that have changed, where configurations may be in force late.
+it('grants no lease for longer than its duration with a replaced configuration', async () => {
+	let isAvailable = true;
+	const {cluster, follower, apply} = await start(transport => {
+		const blocked = withoutContent(transport);
+		return {
+			self: transport.self,
+			handle: (method, handler) => transport.handle(method, handler),
+			call: async (peer, method, params, timeoutMs) => (isAvailable ? transport : blocked).call(peer, method, params, timeoutMs),
+		};
+	});
+	cluster.add('v1', {configurationBoundMs: 10_000});
+	cluster.log.elect('v1');
+	await cluster.clock.advance(5000);
+	await apply(1);
+	await cluster.clock.advance(1000);
+	isAvailable = false;
+	await apply(2);
+	await cluster.clock.advance(1000);
+	let longestMs = 0;
+	for (let at = 0; at < 3000; at += 50) {
+		await cluster.clock.advance(50); // eslint-disable-line no-await-in-loop -- checked at each step
+		longestMs = Math.max(longestMs, follower.lease.expiresAt - cluster.clock.now());
+	}
+
+	expect(follower.view.routing?.version).toBe(1);
+	expect(longestMs).toBeGreaterThan(3000);
+	expect(longestMs).toBeLessThanOrEqual(4000);
+	cluster.dispose();
+});
+
 /** A host that has the first configuration, and cannot reach the control hosts nor fetch a later one. */
 async function isolatedHost(cluster: ControlCluster) {
 	let isAvailable = true;
--- a/src/testing/control-cluster.ts
+++ b/src/testing/control-cluster.ts
@@ -37,6 +37,8 @@
 	readonly zone?: string;
 	/** Codec of routing contents, which are then fetched apart from the renewals. */
 	readonly codec?: TextCodec;
+	/** Time in milliseconds after its acknowledgement at which a routing configuration must be in force, on voters. */
+	readonly configurationBoundMs?: number;
 	/** Wraps the transport of the follower, for example to alter replies. */
 	readonly alterTransport?: (transport: PeerTransport, clock: Clock) => PeerTransport;
 }
@@ -90,6 +92,7 @@
 			prober: {probe: async server => !this.deadBackends.has(server.id)},
 			voter,
 			codec: settings.codec,
+			configurationBoundMs: settings.configurationBoundMs,
 		});
 		const daemon = {
 			clock,
