Search the hosts with a share of a cold server without hashing all of them

The search is repeated for each cold server whenever the list of hosts changes, 35 times in 2 s while all hosts restart.

--- a/src/common/forwarding/cold-share-history.ts
+++ b/src/common/forwarding/cold-share-history.ts
@@ -15,8 +15,6 @@
 /** Minimum number of requests in a second of a host that shares a limit. */
 const minPerHost = 2;
 const msPerSecond = 1000;
-/** Exclusive upper bound of hashes. */
-const hashRange = 2 ** 32;
 /** Factor on times between requests, for clocks that differ by 1 % and for links that let requests bunch slightly. */
 const intervalMargin = 1.05;
 /** Time in milliseconds for which a host keeps to a smaller share that it had before: in the last second, others may have used the rest. */
@@ -77,7 +75,7 @@
 		let interval = intervals.get(key);
 		if (interval === undefined) {
 			const share = coldShare(limit, zones.size);
-			interval = share && placeOf(this._self, zones, {id, zone}) < share.hosts ? share.intervalMs : Infinity;
+			interval = share && isAmongFirst(share.hosts, this._self, zones, {id, zone}) ? share.intervalMs : Infinity;
 			intervals.set(key, interval);
 		}
 
@@ -89,20 +87,29 @@
 	return replacedAt + shareHoldMs > now;
 }
 
-/** Place of a host in the order for a server, from 0: hosts of the server's zone come first, each zone in the order of rendezvous hashing; Infinity for one that is not listed. */
-function placeOf(self: string, zones: ReadonlyMap<string, string>, {id, zone}: Pick<BackendServer, 'id' | 'zone'>): number {
+/** Whether a host is one of the first in the order for a server: hosts of the server's zone come first, each zone in the order of rendezvous hashing. */
+function isAmongFirst(count: number, self: string, zones: ReadonlyMap<string, string>, {id, zone}: Pick<BackendServer, 'id' | 'zone'>): boolean {
 	if (!zones.has(self)) {
-		return Infinity;
+		return false;
 	}
 
 	const seed = hashString(id);
-	const rankOf = (host: string) => (zones.get(host) === zone ? 0 : hashRange) + hashString(host, seed);
-	const own = rankOf(self);
-	let place = 0;
-	for (const host of zones.keys()) {
-		const rank = rankOf(host);
-		place += Number(rank < own || (rank === own && host < self));
+	const isNear = zones.get(self) === zone;
+	const own = hashString(self, seed);
+	let before = 0;
+	for (const [host, hostZone] of zones) {
+		// A new list of hosts is searched for each cold server: zones are compared before hashes are computed, and the search ends with the last share.
+		if ((hostZone === zone) === isNear) {
+			const rank = hashString(host, seed);
+			before += Number(rank < own || (rank === own && host < self));
+		} else if (!isNear) {
+			before++;
+		}
+
+		if (before >= count) {
+			return false;
+		}
 	}
 
-	return place;
+	return true;
 }
