Ask once whether a request may be written whose headers are made anew

A request that waited longer than 50 ms for its connection used the room of a cold server, and was then withdrawn because the room was in use.

--- a/src/node/http-backend-port.ts
+++ b/src/node/http-backend-port.ts
@@ -220,16 +220,21 @@
 	}
 
 	onRequestStart(controller: Dispatcher.DispatchController): void {
-		if (this._isFinished || !this._events.mayStart()) {
-			// An error at this point drops the request and keeps the connection, on which nothing was written.
+		if (this._isFinished) {
 			throw new Error(withdrawnReason);
 		}
 
+		// Checked first: a request that may start counts as written, for example to a cold server.
 		if (this._options.clock.now() - this._encodedAt > maxHeaderAgeMs) {
 			this._isOutdated = true;
 			throw new Error('the headers are out of date');
 		}
 
+		if (!this._events.mayStart()) {
+			// An error at this point drops the request and keeps the connection, on which nothing was written.
+			throw new Error(withdrawnReason);
+		}
+
 		this._controller = controller;
 	}
 
--- a/src/node/http-backend-waits.test.ts
+++ b/src/node/http-backend-waits.test.ts
@@ -59,14 +59,14 @@
 }
 
 /** Sends a request that has 1,000 ms left. @returns a list to which its events are added. */
-function send(address: string, id: string, maxConnections: number): string[] {
+function send(address: string, id: string, maxConnections: number, mayStart = () => true): string[] {
 	const seen: string[] = [];
 	port.send({
 		method: 'GET', target: '/', headers: [], body: undefined,
 	}, {
 		requestId: id, serverId: 's', address, maxConnections, remainingMs: 1000, customer: undefined, model: undefined, priority: undefined, resumeAfter: undefined, repetition: 'once',
 	}, {
-		mayStart: () => true,
+		mayStart,
 		onHead: () => undefined,
 		onData: () => true,
 		onEnd() {
@@ -125,3 +125,16 @@
 	await expect.poll(() => second).toEqual(['end']);
 	expect(server.connections).toBe(1);
 });
+
+// Guards against a request whose headers are made anew after a wait and that uses the room of a cold server twice, so that it is withdrawn.
+it('asks once whether a request that has waited may be written', async () => {
+	const address = await start();
+	let asked = 0;
+	send(address, 'first', 1);
+	await expect.poll(() => server.heads.length).toBe(1);
+	const second = send(address, 'second', 1, () => ++asked === 1);
+	await delay(100);
+	server.sockets[0]!.write(answerText);
+	await expect.poll(() => server.heads.length + second.length).toBe(2);
+	expect([asked, second, server.heads.length]).toEqual([1, [], 2]);
+});
