Measure the times of cold servers by a clock that steps of the time of day do not advance

The clock of the platform's programs counts forward steps of the time of day, so that leases end too early rather than too late. A step of 3 s at the leader ended the marks of cold servers at once, and one at an entry host the waits between its requests to them.

--- a/src/common/host/control-host-options.ts
+++ b/src/common/host/control-host-options.ts
@@ -16,6 +16,8 @@
 	/** Whether this host may create the control group. */
 	readonly isBootstrap: boolean;
 	readonly clock: Clock;
+	/** Clock that steps of the time of day do not advance, for times that must not end early; `clock` when undefined. */
+	readonly steadyClock?: Clock | undefined;
 	/** Clock time at which the process started. */
 	readonly startedAt: number;
 	readonly random: RandomSource;
--- a/src/common/host/control-host.test.ts
+++ b/src/common/host/control-host.test.ts
@@ -137,3 +137,17 @@
 	expect(new Set(logger.of('backend server announced').map(({coldMs}) => coldMs))).toEqual(new Set([2000, undefined]));
 	group.dispose();
 });
+
+// Guards against a cold server that gets its usual load because the time of day of the control hosts was set forward.
+it('keeps a server cold when the time of day is set forward', async () => {
+	const group = await ControlHostGroup.start(9, {parseColdStarts: () => new Map()});
+	const {clock, hostClock, hosts, logger} = group;
+	await group.settle(hosts[0]!.announce(testBackend('s-1', {coldMs: 2500})));
+	await clock.advance(500);
+	hostClock.stall(3000);
+	await clock.advance(1900);
+	expect(logger.of('backend servers are warm')).toHaveLength(0);
+	await clock.advance(5000);
+	expect(logger.of('backend servers are warm')).toHaveLength(1);
+	group.dispose();
+});
--- a/src/common/host/control-host.ts
+++ b/src/common/host/control-host.ts
@@ -77,7 +77,9 @@
 		const supervisor = this._store.add(new ReleaseSupervisor({...shared, leadership: this._service.leadership}));
 		this._store.add(this._service.addSection(supervisor));
 		this._store.add(this._service.addSection(this._store.add(new CrashSupervisor({...shared, leadership: this._service.leadership}))));
-		this._coldServers = this._store.add(new ColdServerWatch({...shared, leadership: this._service.leadership, coldStartMs: service => this._coldStartMs(service)}));
+		this._coldServers = this._store.add(new ColdServerWatch({
+			...shared, clock: _options.steadyClock ?? clock, leadership: this._service.leadership, coldStartMs: service => this._coldStartMs(service),
+		}));
 		this._store.add(this._service.addSection(new StickySessionExchange(clock, _options.sessionMs)));
 		this._store.add(this._service.addSection(new SpeedEstimates(shared)));
 		this._entryList = new EntryList(_state, {isValid: () => true}, {keepSeconds, maxLength: maxListed});
--- a/src/common/host/forward-host.test.ts
+++ b/src/common/host/forward-host.test.ts
@@ -1,6 +1,7 @@
 import {expect, it} from 'vitest';
 import {HeldBytes} from '../base/held-bytes.js';
 import {ControlCluster} from '../../testing/control-cluster.js';
+import {DriftingClock} from '../../testing/drifting-clock.js';
 import {testBackend, testRoute, testTable} from '../../testing/forwarder-fixture.js';
 import {RecordingCounters} from '../../testing/recording-counters.js';
 import {RecordingSink} from '../../testing/recording-sink.js';
@@ -28,13 +29,15 @@
 	const port = new ScriptedPort(scriptedAnswers.good);
 	const cluster = await ControlCluster.start([], seed);
 	const {clock} = cluster;
+	const hostClock = new DriftingClock(clock, 1);
 	const edge = new ForwardHost({
 		held: new HeldBytes(),
 		entry: {
 			host, incarnation: clock.wallTime(), address: 'edge:80', peerAddress: 'edge:90', zone: 'zone-a',
 		},
 		seeds: () => cluster.voters,
-		clock,
+		clock: hostClock,
+		steadyClock: clock,
 		random: new SeededRandom(seed),
 		transport: cluster.network.attach(host),
 		counters,
@@ -72,7 +75,7 @@
 	};
 
 	return {
-		cluster, clock, edge, leader, send, counters, port,
+		cluster, clock, hostClock, edge, leader, send, counters, port,
 	};
 }
 
@@ -247,3 +250,24 @@
 	edge.dispose();
 	cluster.dispose();
 });
+
+// Guards against more requests to a cold server than it bears when the time of day of a host is set forward.
+it('keeps to its share of a cold server when the time of day is set forward', async () => {
+	const {cluster, clock, hostClock, edge, leader, send} = await start(3, {startupMs: 2500, coldBounds: {overrun: 1.5, slack: 5}});
+	cluster.log.commandVersion = 3;
+	const {cfg} = testTable([testRoute({name: '/old/', pathPrefix: '/old/'})]);
+	const source = JSON.stringify({...cfg, version: 2, services: cfg.services.map(service => ({...service, coldPerSecond: 17}))});
+	await cluster.settle(leader.propose({type: 'apply-routing', version: 2, source}));
+	await cluster.settle(leader.propose({type: 'backend-joined', server: testBackend('a', {incarnation: 2, coldMs: 2500}), at: clock.wallTime()}));
+	await clock.advance(500);
+	hostClock.stall(3000);
+	const early = send('/old/x');
+	await clock.advance(4000);
+	const first = send('/old/x');
+	hostClock.stall(300);
+	const second = send('/old/x');
+	await clock.advance(100);
+	expect([early, first, second].map(item => statusOf(item))).toEqual([503, 200, 503]);
+	edge.dispose();
+	cluster.dispose();
+});
--- a/src/common/host/forward-host.ts
+++ b/src/common/host/forward-host.ts
@@ -51,6 +51,8 @@
 	/** Peer names of control hosts from the settings. */
 	readonly seeds: () => readonly string[];
 	readonly clock: Clock;
+	/** Clock that steps of the time of day do not advance, for times that must not end early; `clock` when undefined. */
+	readonly steadyClock?: Clock | undefined;
 	readonly random: RandomSource;
 	readonly transport: PeerTransport;
 	readonly counters: Counters;
@@ -114,7 +116,7 @@
 		this._places = this._store.add(new PlaceQueue(clock, _options.followsLoad ? () => new UrgencyOrder() : undefined));
 		this._slackShare = new SlackShare(clock, leaseMs, leaseMs + _options.repeatLimit.windowMs);
 		this._coldLog = new ColdServerLog(logger);
-		this._cold = new SharedColdServers(entry.host, clock, service => this._coldLimit(service));
+		this._cold = new SharedColdServers(entry.host, _options.steadyClock ?? clock, service => this._coldLimit(service));
 		this.follower = this._store.add(new ControlFollower({..._options, voters: () => this._voters.hosts, sections: []}));
 		this._recorder = this._store.add(new ReleaseRecorder(service => {
 			const rollout = this.follower.view.serviceRollouts.get(service);
--- a/src/testing/control-host-group.ts
+++ b/src/testing/control-host-group.ts
@@ -4,6 +4,7 @@
 import {DiskLogStorage} from '../common/consensus/disk-log-storage.js';
 import {ControlHost} from '../common/host/control-host.js';
 import {type ControlHostOptions} from '../common/host/control-host-options.js';
+import {DriftingClock} from './drifting-clock.js';
 import {ManualClock} from './manual-clock.js';
 import {MemoryDisk} from './memory-disk.js';
 import {MemoryNetwork} from './memory-network.js';
@@ -22,6 +23,8 @@
 	}
 
 	readonly clock = new ManualClock();
+	/** Clock of the hosts, which a step of the time of day advances. */
+	readonly hostClock = new DriftingClock(this.clock, 1);
 	readonly logger = new RecordingLogger();
 	readonly names = names;
 	readonly hosts: ControlHost[] = [];
@@ -48,8 +51,9 @@
 			region: 'r',
 			seeds: () => names,
 			isBootstrap: true,
-			clock: this.clock,
-			startedAt: this.clock.now(),
+			clock: this.hostClock,
+			steadyClock: this.clock,
+			startedAt: this.hostClock.now(),
 			random: this._random.fork(`${name} ${this._starts++}`),
 			transport: this.network.attach(name),
 			counters: nullCounters,
