Keep a server marked as cold for as long as an announced time that is no reason for a new mark

A time that ended 300 to 500 ms after that of the mark did not replace it, and the mark was taken back 300 ms after its time. The test's margin rises from 300 to 500 ms with the constant, so the upper bound of the time of a mark is checked as before.

--- a/src/common/control/cold-server-watch.ts
+++ b/src/common/control/cold-server-watch.ts
@@ -22,10 +22,10 @@
 }
 
 const sweepIntervalMs = 100;
-/** Time in milliseconds by which a mark outlasts the stated time, because that is counted from a moment at the server. */
-const marginMs = 300;
 /** Difference in milliseconds from which an announced time is a new one and not the rest of the time that is known, which arrives late. */
 const newTimeMs = 500;
+/** Time in milliseconds by which a mark outlasts its time: a server that turned cold again up to `newTimeMs` later gets no new mark. */
+const marginMs = newTimeMs;
 
 /** Tracks the marks of cold backend servers, on each member by its own clock, and takes them back at the leader when their time is over. */
 export class ColdServerWatch implements Disposable {
