--- a/src/common/control/control-service.ts
+++ b/src/common/control/control-service.ts
@@ -44,12 +44,10 @@
 	readonly clock: Clock;
 	readonly counters: Counters;
 	readonly logger: Logger;
-
 	/** Codec of the control state; texts stay as they are by default. */
 	readonly codec?: TextCodec | undefined;
 	/** Time in milliseconds after its acknowledgement at which a routing configuration must be in force. */
 	readonly configurationBoundMs?: number | undefined;
-
 	readonly sections?: ReadonlyArray<LeaderSection<any, any>>;
 }
 
