--- a/src/common/forwarding/attempt-evidence.ts
+++ b/src/common/forwarding/attempt-evidence.ts
@@ -9,6 +9,8 @@
 export class AttemptEvidence {
 	private readonly _pace = new AnswerPace();
 	private _hasHead = false;
+	/** Whether the answer is valid; the pace of an error or a refusal says nothing about the speed of the server. */
+	private _isValid = false;
 	private _hasPace = false;
 
 	constructor(private readonly _observer: ReleaseObserver, private readonly _subject: ReleaseSubject, private readonly _sentAt: number, private readonly _probe: SpeedProbe = nullSpeedProbe) {
@@ -28,6 +30,7 @@
 		if (isFailed) {
 			this._probe.end();
 		} else {
+			this._isValid = true;
 			this._probe.recordFirstEvent(now);
 		}
 	}
@@ -65,7 +68,9 @@
 		if (!this._hasPace && msPerKib !== undefined) {
 			this._hasPace = true;
 			this._observer.recordPace(this._subject, msPerKib);
-			this._probe.recordPace(msPerKib);
+			if (this._isValid) {
+				this._probe.recordPace(msPerKib);
+			}
 		}
 	}
 }
