Keep the weight of a single server steady, and fade estimates to the median

A server without observations kept its estimate while the median of the others rose in a burst, so it got weight 3 until the burst had ended.

--- a/src/common/speeds/server-speed.ts
+++ b/src/common/speeds/server-speed.ts
@@ -25,9 +25,9 @@
 		return this._shares[signal].accept(host, count, hosts, now);
 	}
 
-	/** Signals with enough observations. */
+	/** Signals with enough observations that are not too old. */
 	known(now: number): SignalName[] {
-		return (['first', 'pace'] as const).filter(name => this.signals[name].weight(now) >= minObservations);
+		return (['first', 'pace'] as const).filter(name => this.signals[name].weight(now) >= minObservations && this.signals[name].freshness(now) > 0);
 	}
 
 	prune(now: number): void {
--- a/src/common/speeds/service-speeds.ts
+++ b/src/common/speeds/service-speeds.ts
@@ -9,8 +9,8 @@
 /** Largest square of a difference that counts, so that a change of speed does not pass for noise. */
 const maxSquare = 1;
 
-/** Slowness, as a logarithm, from which a single server has a weight other than 1 although the others are equal: a factor of 2, which chance does not reach. */
-const singleSlowness = Math.log(2);
+/** Slowness, as a logarithm, from which a single server has a weight other than 1 although the others are equal, a factor of 2, which chance does not reach, and below which it no longer has. */
+const singleSlowness = {from: Math.log(2), below: Math.log(1.5)} as const;
 /** Share of the servers that differ from the median from which a service counts as one with unequal servers, and below which it no longer does. */
 const unequalShare = {from: 0.2, below: 0.1} as const;
 
@@ -41,7 +41,11 @@
 		const medians = {first: medianOf(servers, 'first', now), pace: medianOf(servers, 'pace', now)};
 		const compared = servers.map(server => {
 			// The signal that shows the slower server counts: one that starts answers late or one that continues them slowly handles less load.
-			const relative = server.known(now).map(name => ({slowness: server.signals[name].at(now) - medians[name], error: server.signals[name].error(deviation, now)}));
+			// An estimate fades to the median, not to 0: the median of all servers rises in a burst, and a server without observations is not faster for that.
+			const relative = server.known(now).map(name => {
+				const signal = server.signals[name];
+				return {slowness: (signal.latest(now) - medians[name]) * signal.freshness(now), error: signal.error(deviation, now)};
+			});
 			const slowest = relative.find(({slowness}) => slowness === Math.max(...relative.map(other => other.slowness)));
 			return {server, slowness: slowest?.slowness ?? 0, level: slowest ? weightLevel(slowest.slowness, slowest.error, server.level) : 0};
 		});
@@ -49,7 +53,8 @@
 		this._isUnequal = share >= (this._isUnequal ? unequalShare.below : unequalShare.from);
 		return compared.filter(({server, slowness, level}) => {
 			const previous = server.level;
-			server.level = this._isUnequal || Math.abs(slowness) >= singleSlowness ? level : 0;
+			const isLarge = Math.abs(slowness) >= (previous === 0 ? singleSlowness.from : singleSlowness.below);
+			server.level = this._isUnequal || isLarge ? level : 0;
 			return server.level !== previous;
 		}).map(({server}) => server);
 	}
@@ -57,7 +62,7 @@
 
 /** Median of the estimates of the servers that are known; a single changed server does not move it. */
 function medianOf(servers: readonly ServerSpeed[], signal: SignalName, now: number): number {
-	const values = servers.filter(server => server.known(now).includes(signal)).map(server => server.signals[signal].at(now)).sort((left, right) => left - right);
+	const values = servers.filter(server => server.known(now).includes(signal)).map(server => server.signals[signal].latest(now)).sort((left, right) => left - right);
 	const middle = values.length / 2;
 	return values.length === 0 ? 0 : (values[Math.ceil(middle) - 1]! + values[Math.floor(middle)]!) / 2;
 }
--- a/src/common/speeds/speed-estimates.test.ts
+++ b/src/common/speeds/speed-estimates.test.ts
@@ -11,6 +11,9 @@
 const backends = Array.from({length: 6}, (_, index) => testBackend(`s${index}`));
 const numbers = backends.map(backend => processNumber(backendKey(backend)));
 
+/** Ratio of a server of which there are no observations. */
+const unobserved = 0;
+
 /** Lets hosts report once a second that one server is slower by a factor, and applies the replies at a host. */
 async function play(seconds: number, ratiosOf: (host: number, second: number) => readonly number[], {hosts = 10, replies = (second: number) => second >= 0} = {}) {
 	const clock = new ManualClock();
@@ -19,10 +22,11 @@
 		clock, logger, counters: new RecordingCounters(), state: {backendServers: new Map(backends.map(backend => [backend.id, backend]))},
 	});
 	const weights = new ReceivedWeights();
+	const firstWeights: number[] = [];
 	for (let second = 0; second < seconds; second++) {
 		for (let host = 0; host < hosts; host++) {
 			const sender = {host: `h${host}`, incarnation: 1};
-			const items = ratiosOf(host, second).map((ratio, index): SpeedItem => [numbers[index]!, 1, Math.round(100 * Math.log(ratio)), 0, 0]);
+			const items = ratiosOf(host, second).flatMap((ratio, index): SpeedItem[] => ratio === unobserved ? [] : [[numbers[index]!, 1, Math.round(100 * Math.log(ratio)), 0, 0]]);
 			estimates.receive(sender, {seen: weights.seen(1), items});
 			const reply = estimates.reply(sender);
 			if (reply && host === 0 && replies(second)) {
@@ -30,10 +34,11 @@
 			}
 		}
 
+		firstWeights.push(weights.of({key: backendKey(backends[0]!)}, clock.now()));
 		await clock.advance(1000); // eslint-disable-line no-await-in-loop -- one second after the other
 	}
 
-	return {all: backends.map(backend => weights.of({key: backendKey(backend)}, clock.now())), logger};
+	return {all: backends.map(backend => weights.of({key: backendKey(backend)}, clock.now())), firstWeights, logger};
 }
 
 const equal = [1, 1, 1, 1, 1, 1];
@@ -53,6 +58,15 @@
 	{
 		name: 'a difference within noise', ratios: () => [1.15, ...equal.slice(1)], min: 1, max: 1,
 	},
+	{
+		name: 'a single server that is slower by less than a factor of 2', ratios: () => [1.8, ...equal.slice(1)], min: 1, max: 1,
+	},
+	{
+		name: 'a single server that is slower by more than a factor of 2', ratios: () => [2.3, ...equal.slice(1)], min: 0.4, max: 0.5,
+	},
+	{
+		name: 'a server that is not observed during a burst', ratios: (_host: number, second: number) => second < 8 ? equal : [unobserved, 6, 6, 6, 6, 6], min: 1, max: 1,
+	},
 	{
 		name: 'one host with wrong figures of one server', ratios: (host: number) => host === 3 ? [1000, ...equal.slice(1)] : equal, min: 1, max: 1,
 	},
@@ -75,6 +89,23 @@
 	expect(others).toEqual(equal.slice(1));
 });
 
+// Guards against small differences that move no load although a fifth of the servers differ, and against those of a single server that do.
+it.each([
+	{name: 'one of six servers', ratios: [1.5, 1, 1, 1, 1, 1], isWeighted: false},
+	{name: 'two of six servers', ratios: [1.5, 1.5, 1, 1, 1, 1], isWeighted: true},
+	{name: 'one of four servers', ratios: [1.5, 1, 1, 1], isWeighted: true},
+])('counts a small difference of $name: $isWeighted', async ({ratios, isWeighted}) => {
+	const {all} = await play(20, () => ratios);
+	expect(all.map(weight => weight !== 1)).toEqual(equal.map((_, index) => isWeighted && (ratios[index] ?? 1) !== 1));
+});
+
+// Guards against a weight that is set and removed again and again, which moves the prompt parts of a server each time.
+it('keeps the weight of a single server that is slower by about a factor of 2', async () => {
+	const {firstWeights} = await play(100, (_host, second) => [second % 16 < 8 ? 2.6 : 1.65, 1, 1, 1, 1, 1]);
+	const changes = firstWeights.filter((weight, index) => index > 0 && (weight === 1) !== (firstWeights[index - 1] === 1));
+	expect(changes.length).toBeLessThanOrEqual(1);
+});
+
 // Guards against weights that outlive their leader, and against changes that a host misses for good when replies are lost.
 it.each([
 	{
--- a/src/common/speeds/speed-signal.ts
+++ b/src/common/speeds/speed-signal.ts
@@ -37,9 +37,18 @@
 	}
 
 	at(now: number): number {
-		const freshness = Math.min(1, Math.max(0, (this._observedAt + freshMs + fadeMs - now) / fadeMs));
+		return this.latest(now) * this.freshness(now);
+	}
+
+	/** Returns the estimate of the last observations, however old they are. */
+	latest(now: number): number {
 		const limit = now - this._slowedAt < confirmMs ? this._before + maxUnconfirmed : Infinity;
-		return Math.min(this._steady.at(now), limit) * freshness;
+		return Math.min(this._steady.at(now), limit);
+	}
+
+	/** Returns how much the last observations still count, from 0 to 1. */
+	freshness(now: number): number {
+		return Math.min(1, Math.max(0, (this._observedAt + freshMs + fadeMs - now) / fadeMs));
 	}
 
 	/** Standard error of the estimate, given the standard deviation of observations; 0 shortly after a change, which was significant. */
