--- a/src/common/control/entry-draw.ts
+++ b/src/common/control/entry-draw.ts
@@ -9,11 +9,11 @@
 	private readonly _draw: WeightedDraw<WeightedEntry>;
 
 	constructor(private readonly _entries: readonly EntryHost[], maxLength: number) {
-		const known = _entries.flatMap(({capacity}) => capacity ?? []);
+		const known = _entries.flatMap(entry => knownCapacity(entry) ?? []);
 		// Releases before capacities were announced state none.
 		const mean = known.length === 0 ? 1 : known.reduce((sum, capacity) => sum + capacity, 0) / known.length;
 		this._weighted = _entries.map(entry => ({
-			name: entry.host, group: entry.zone, weight: entry.capacity ?? mean, entry,
+			name: entry.host, group: entry.zone, weight: knownCapacity(entry) ?? mean, entry,
 		}));
 		this._draw = new WeightedDraw(this._weighted, maxLength);
 	}
@@ -32,3 +32,8 @@
 		return (other ? [...drawn.slice(0, -1), other] : drawn).map(({entry}) => entry);
 	}
 }
+
+/** Returns the capacity of a host if it is a positive number; any other one would leave the lists of all callers empty. */
+function knownCapacity({capacity}: EntryHost): number | undefined {
+	return capacity !== undefined && Number.isFinite(capacity) && capacity > 0 ? capacity : undefined;
+}
