--- a/src/common/speeds/decayed-mean.ts
+++ b/src/common/speeds/decayed-mean.ts
@@ -2,6 +2,8 @@
 export class DecayedMean {
 	private _sum = 0;
 	private _weight = 0;
+	/** Sum of the squares of the decayed counts of single values. */
+	private _squares = 0;
 	private _at = 0;
 
 	constructor(
@@ -15,6 +17,7 @@
 		this._decay(now);
 		this._sum += value * count;
 		this._weight += count;
+		this._squares += count;
 	}
 
 	/** Returns the sum of the decayed counts. */
@@ -23,6 +26,12 @@
 		return this._weight;
 	}
 
+	/** Returns the number of equally weighted values that would have the same standard error. */
+	effectiveCount(now: number): number {
+		this._decay(now);
+		return this._squares === 0 ? 0 : (this._weight ** 2) / this._squares;
+	}
+
 	at(now: number): number {
 		this._decay(now);
 		return this._sum / (this._weight + this._prior);
@@ -33,6 +42,7 @@
 		this._decay(now);
 		this._weight = other.weight(now);
 		this._sum = other._sum;
+		this._squares = other._squares;
 	}
 
 	private _decay(now: number): void {
@@ -40,5 +50,6 @@
 		this._at = Math.max(this._at, now);
 		this._sum *= factor;
 		this._weight *= factor;
+		this._squares *= factor ** 2;
 	}
 }
--- a/src/common/speeds/speed-signal.ts
+++ b/src/common/speeds/speed-signal.ts
@@ -74,7 +74,6 @@
 	}
 }
 
-/** The sum of the weights of a decayed mean is half of the number of values that would have the same error. */
 function errorOf(mean: DecayedMean, deviation: number, now: number): number {
-	return deviation / Math.sqrt(Math.max(0.01, 2 * mean.weight(now)));
+	return deviation / Math.sqrt(Math.max(0.02, mean.effectiveCount(now)));
 }
