Take a service for one of unequal servers only if two of them differ

A single server of three or four plain ones was a fifth of its service, so that a difference of 25 % moved the load of deployments with equal servers.

--- a/src/common/speeds/service-speeds.ts
+++ b/src/common/speeds/service-speeds.ts
@@ -13,6 +13,8 @@
 const singleSlowness = {from: Math.log(2), below: Math.log(1.5)} as const;
 /** Share of the servers that differ from the median from which a service counts as one with unequal servers, and below which it no longer does. */
 const unequalShare = {from: 0.2, below: 0.1} as const;
+/** Minimum number of such servers; in a service with few servers a single one would be a large share. */
+const minUnequal = 2;
 
 /**
 Compares the servers of one service with each other.
@@ -49,8 +51,8 @@
 			const slowest = relative.find(({slowness}) => slowness === Math.max(...relative.map(other => other.slowness)));
 			return {server, slowness: slowest?.slowness ?? 0, level: slowest ? weightLevel(slowest.slowness, slowest.error, server.level) : 0};
 		});
-		const share = compared.filter(({level}) => level !== 0).length / Math.max(1, compared.length);
-		this._isUnequal = share >= (this._isUnequal ? unequalShare.below : unequalShare.from);
+		const different = compared.filter(({level}) => level !== 0).length;
+		this._isUnequal = different >= Math.max(minUnequal, compared.length * (this._isUnequal ? unequalShare.below : unequalShare.from));
 		return compared.filter(({server, slowness, level}) => {
 			const previous = server.level;
 			const isLarge = Math.abs(slowness) >= (previous === 0 ? singleSlowness.from : singleSlowness.below);
