--- a/src/common/control/entry-draw.ts
+++ b/src/common/control/entry-draw.ts
@@ -1,4 +1,4 @@
-import {type EntryHost} from './entry-host.js';
+import {type EntryHost, knownCapacity} from './entry-host.js';
 import {type Weighted, WeightedDraw} from './weighted-draw.js';
 
 type WeightedEntry = Weighted & {readonly entry: EntryHost};
@@ -32,8 +32,3 @@
 		return (other ? [...drawn.slice(0, -1), other] : drawn).map(({entry}) => entry);
 	}
 }
-
-/** Returns the capacity of a host if it is a positive number; any other one would leave the lists of all callers empty. */
-function knownCapacity({capacity}: EntryHost): number | undefined {
-	return capacity !== undefined && Number.isFinite(capacity) && capacity > 0 ? capacity : undefined;
-}
--- a/src/common/control/entry-host.ts
+++ b/src/common/control/entry-host.ts
@@ -12,3 +12,8 @@
 	/** Processors that the process may use; undefined when unknown. */
 	readonly capacity?: number | undefined;
 }
+
+/** Returns the capacity of a host if it is a positive number; any other one would leave the lists of all callers empty. */
+export function knownCapacity({capacity}: EntryHost): number | undefined {
+	return capacity !== undefined && Number.isFinite(capacity) && capacity > 0 ? capacity : undefined;
+}
--- a/src/common/host/forward-host.ts
+++ b/src/common/host/forward-host.ts
@@ -14,6 +14,7 @@
 import {leaseMs} from '../control/control-times.js';
 import {serviceRolloutState} from '../control/service-rollout.js';
 import {type EntryHost} from '../control/entry-host.js';
+import {hasUnequalCapacities} from '../control/unequal-capacities.js';
 import {KnownVoters} from '../control/voters-section.js';
 import {type BackendPort} from '../forwarding/backend-port.js';
 import {type ColdBounds, SharedColdServers} from '../forwarding/cold-servers.js';
@@ -98,6 +99,7 @@
 	private readonly _slackShare: SlackShare;
 	private readonly _cold: SharedColdServers;
 	private readonly _coldLog: ColdServerLog;
+	private readonly _serverSpeeds: SpeedReporter;
 	private _evacuatedZones: ReadonlySet<string> = new Set();
 	private readonly _onRouting = this._store.add(new Emitter<RoutingConfig>());
 	private readonly _onServers = this._store.add(new Emitter<ReadonlySet<string>>());
@@ -132,8 +134,8 @@
 		const crashes = this._store.add(new CrashRecorder({..._options, quarantinedRequests: () => this.follower.view.quarantinedRequests.keys()}));
 		this._store.add(this.follower.addSection(crashes));
 		const weights = new ReceivedWeights();
-		const serverSpeeds = new SpeedReporter(clock, weights);
-		this._store.add(this.follower.addSection(serverSpeeds));
+		this._serverSpeeds = new SpeedReporter(clock, weights);
+		this._store.add(this.follower.addSection(this._serverSpeeds));
 		this._store.add(this.follower.onRevision(() => {
 			this._applyRevision();
 			this._places.releaseAll();
@@ -172,7 +174,7 @@
 			cold: this._cold,
 			held: _options.held,
 			speeds: new ModelSpeeds(_options.followsLoad),
-			serverSpeeds,
+			serverSpeeds: this._serverSpeeds,
 			models: new LoadAwareCascade(acceptedConfidence, latencyMargin),
 			observer: this._recorder,
 			crashes,
@@ -261,6 +263,8 @@
 		this._trialSessions.update(view);
 		this._applyEvacuations();
 		this._pool.update(view.backendServers.values(), this._options.clock.now(), this._evacuatedZones);
+		// Among equal machines the servers are taken to be equal, and requests stay with the servers that keep their prompt parts.
+		this._serverSpeeds.isActive = hasUnequalCapacities(view.entryHosts.values());
 		this._coldLog.update(view.backendServers.values(), view.revision);
 		const listedIncarnation = view.entryHosts.get(this._options.entry.host)?.incarnation;
 		this._cold.update(view.entryHosts.values(), listedIncarnation === this.follower.incarnation ? listedIncarnation : undefined);
--- a/src/common/speeds/speed-reporter.ts
+++ b/src/common/speeds/speed-reporter.ts
@@ -1,7 +1,9 @@
 import {type Clock} from '../base/clock.js';
 import {setNewest} from '../base/drop-oldest.js';
 import {type FollowerSection} from '../control/follower-section.js';
-import {type SpeedObserver, type SpeedProbe, type TimedAttempt} from '../forwarding/speed-observer.js';
+import {
+	nullSpeedProbe, type SpeedObserver, type SpeedProbe, type TimedAttempt,
+} from '../forwarding/speed-observer.js';
 import {ExpectedTimes} from './expected-times.js';
 import {type ReceivedWeights} from './received-weights.js';
 import {
@@ -24,6 +26,8 @@
 /** Reports from an entry host how long servers take, relative to what this host expects of similar attempts at all servers. */
 export class SpeedReporter implements SpeedObserver, FollowerSection<SpeedReport, SpeedReply> {
 	readonly section = speedSection;
+	/** Whether attempts are observed and reported; without reports all weights are 1. */
+	isActive = true;
 	private readonly _firstTimes = new Map<string, ExpectedTimes>();
 	private readonly _paces = new Map<string, ExpectedTimes>();
 	private readonly _waiting = new Set<Waiting>();
@@ -33,6 +37,10 @@
 	constructor(private readonly _clock: Clock, private readonly _weights: ReceivedWeights) {}
 
 	observe({record, service, route, model, inputTokens, sentAt}: TimedAttempt): SpeedProbe {
+		if (!this.isActive) {
+			return nullSpeedProbe;
+		}
+
 		const process = processNumber(record.key);
 		const kind = JSON.stringify([service, model ?? route]);
 		const firstTimes = expectedOf(this._firstTimes, kind);
@@ -76,7 +84,7 @@
 
 	collect(term: number): SpeedReport | undefined {
 		const now = this._clock.now();
-		if (now - this._collectedAt < minPartIntervalMs) {
+		if (!this.isActive || now - this._collectedAt < minPartIntervalMs) {
 			return undefined;
 		}
 
